Decide calls, order, answers and budgets in a first whole Owner

Cause: the daemon needs an Owner that works while state and recovery are built. Measured: OwnerTest, 6 tests of one owner before a table that answers at once, passes; take-over and hand-over are not in yet. Conclusion: can be wired in the daemon.

--- a/core/src/main/java/org/celerygw/core/owner/Effect.java
+++ b/core/src/main/java/org/celerygw/core/owner/Effect.java
@@ -6,6 +6,7 @@
 import org.celerygw.core.call.Outcome;
 import org.celerygw.core.id.CallId;
 import org.celerygw.core.id.CustomerId;
+import org.celerygw.core.id.IdempotencyKey;
 import org.celerygw.core.id.PriorityClassName;
 import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.store.Txn;
@@ -120,4 +121,18 @@
      * @param tokens the tokens
      */
     record Spent(CustomerId customer, long tokens) implements Effect {}
+
+    /**
+     * Ask a service, where it can tell, whether a call ran; answer with {@link Event.OutcomeFound} or not at all. The
+     * call itself is not sent.
+     *
+     * @param call the call
+     * @param attempt the attempt that was sent or not
+     * @param target the service's name
+     * @param key the key that the call carried
+     */
+    record AskOutcome(CallId call, long attempt, String target, IdempotencyKey key) implements Effect {}
+
+    /** Every slot is handed over; the process may leave once its streams ended. */
+    record Drained() implements Effect {}
 }
--- a/core/src/main/java/org/celerygw/core/owner/Event.java
+++ b/core/src/main/java/org/celerygw/core/owner/Event.java
@@ -10,6 +10,7 @@
 import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.id.HostId;
 import org.celerygw.core.id.ProgramId;
+import org.celerygw.core.id.Slot;
 import org.celerygw.core.store.ObjectStore;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.TxnResult;
@@ -152,4 +153,20 @@
      * @param customers only these customers; empty for all
      */
     record Listed(ReplyTag tag, List<CustomerId> customers) implements Event {}
+
+    /**
+     * A caller asked here for a slot that this host does not own; its row is read soon.
+     *
+     * @param slot the slot
+     */
+    record SlotMissed(Slot slot) implements Event {}
+
+    /**
+     * The service was asked about a call in doubt.
+     *
+     * @param call the call
+     * @param attempt the attempt named in the question
+     * @param outcome what the service proves; UNKNOWN when it can't tell
+     */
+    record OutcomeFound(CallId call, long attempt, Outcome outcome) implements Event {}
 }
--- a/core/src/main/java/org/celerygw/core/owner/Owner.java
+++ b/core/src/main/java/org/celerygw/core/owner/Owner.java
@@ -1,16 +1,41 @@
 package org.celerygw.core.owner;
 
+import com.google.protobuf.ByteString;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.celerygw.core.budget.Grants;
+import org.celerygw.core.call.Outcome;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.RunState;
 import org.celerygw.core.id.HostId;
+import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.id.Slot;
+import org.celerygw.core.journal.Contents;
+import org.celerygw.core.journal.Journal;
+import org.celerygw.core.ownership.Ownership;
+import org.celerygw.core.program.Program;
+import org.celerygw.core.program.Programs;
 
 /**
  * Owns slots and decides the calls of the programs in them. Give it events, one at a time on one thread, and do
  * the effects that it returns, in order.
  */
 public final class Owner {
+    private static final long RETRY_HINT_MS = 100;
+
     private final HostId host;
-    private final OwnerSettings settings;
+    private final Io io = new Io();
+    private final Programs programs = new Programs();
+    private final Journal journal;
+    private final Ownership ownership;
+    private final Grants grants;
+    private final Calls calls;
+    private final Lifecycle lifecycle;
+    private final Set<Slot> active = new HashSet<>();
+    private boolean begun;
+    private boolean deposed;
 
     /**
      * Makes an owner that owns nothing yet; it begins with the first {@link Event.HostsSeen}.
@@ -20,7 +45,13 @@
      */
     public Owner(HostId host, OwnerSettings settings) {
         this.host = host;
-        this.settings = settings;
+        Contents contents = new Contents(io, io);
+        journal = new Journal(host, io, io, settings.pace(), this::depose);
+        ownership = new Ownership(host, io, settings.lease(), journal::nextSeq, this::claimed, io::log);
+        grants = new Grants(host, io, settings.grantTokens(), programs::tally);
+        Recorder recorder = new Recorder(programs, journal);
+        calls = new Calls(host, settings, recorder, grants, contents, io);
+        lifecycle = new Lifecycle(settings, recorder, calls, io);
     }
 
     /**
@@ -31,7 +62,108 @@
      * @return what to do, in order
      */
     public List<Effect> handle(Event event, long nowMs) {
-        throw new UnsupportedOperationException(host + " " + settings + event + nowMs);
+        calls.at(nowMs);
+        lifecycle.at(nowMs);
+        dispatch(event, nowMs);
+        return io.take();
+    }
+
+    private void dispatch(Event event, long nowMs) {
+        if (event instanceof Event.Tick) {
+            tick(nowMs);
+        } else if (event instanceof Event.HostsSeen e) {
+            begun = true;
+            ownership.hostsSeen(e.hosts());
+            journal.shareAmong(e.hosts().size());
+            tick(nowMs);
+        } else if (event instanceof Event.Wrote e) {
+            io.wrote(e);
+        } else if (event instanceof Event.ReadDone e) {
+            io.readDone(e);
+        } else if (event instanceof Event.ObjectPut e) {
+            io.objectPut(e);
+        } else if (event instanceof Event.ObjectRead e) {
+            io.objectRead(e);
+        } else if (event instanceof Event.CeilingSet e) {
+            grants.ceiling(e.customer(), e.ceilingTokens());
+        } else if (event instanceof Event.SlotMissed e) {
+            ownership.miss(e.slot());
+        } else {
+            ask(event);
+        }
+    }
+
+    private void ask(Event event) {
+        if (event instanceof Event.Submitted e) {
+            where(e.call().id().program(), e.tag(), () -> calls.submit(e.call(), e.tag()));
+        } else if (event instanceof Event.Created e) {
+            where(e.spec().program(), e.tag(), () -> lifecycle.create(e));
+        } else if (event instanceof Event.Ended e) {
+            where(e.program(), e.tag(), () -> lifecycle.end(e));
+        } else if (event instanceof Event.Settled e) {
+            where(e.call().program(), e.tag(), () -> calls.settle(e));
+        } else if (event instanceof Event.Explained e) {
+            where(e.program(), e.tag(), () -> explain(e));
+        } else if (event instanceof Event.Finished e) {
+            calls.finished(e.call(), e.attempt(), e.outcome(), e.backend());
+        } else if (event instanceof Event.CallerGone e) {
+            calls.callerGone(e.tag());
+        } else if (event instanceof Event.Listed e) {
+            json(e.tag(), Views.list(programs, e.customers()));
+        }
+    }
+
+    private void tick(long nowMs) {
+        if (!begun || deposed) {
+            return;
+        }
+        journal.tick(nowMs);
+        if (journal.isOpen()) {
+            ownership.tick(nowMs);
+            grants.tick(nowMs);
+            calls.tick();
+            lifecycle.tick();
+        }
+    }
+
+    private void where(ProgramId program, ReplyTag tag, Runnable here) {
+        Slot slot = program.slot();
+        if (owns(slot)) {
+            here.run();
+            return;
+        }
+        ownership.miss(slot);
+        io.emit(new Effect.Reply(
+                tag,
+                Outcome.failed(ErrorCode.NOT_OWNER, RunState.NOT_RUN, RETRY_HINT_MS, host + " does not own the slot")));
+    }
+
+    private void explain(Event.Explained e) {
+        Program p = programs.find(e.program());
+        boolean visible = p != null && (e.customer() == null || p.customer().equals(e.customer()));
+        if (p == null || !visible) {
+            Outcome none = Outcome.failed(ErrorCode.NOT_FOUND, RunState.NOT_RUN, 0, "there is no such program");
+            io.emit(new Effect.Reply(e.tag(), none));
+            return;
+        }
+        json(e.tag(), Views.explain(programs, p));
+    }
+
+    private void json(ReplyTag tag, ByteString json) {
+        io.emit(new Effect.Reply(tag, Outcome.answered(200, "application/json", json, 0)));
+    }
+
+    private void claimed(List<Ownership.Claim> claims) {
+        claims.forEach(c -> active.add(c.slot()));
+    }
+
+    private void depose() {
+        deposed = true;
+        active.clear();
+        calls.depose();
+        lifecycle.depose();
+        io.log("lease: " + host + " was sealed and owns nothing any more");
+        io.emit(new Effect.Deposed());
     }
 
     /**
@@ -41,6 +173,16 @@
      * @return true when calls in the slot can be decided here
      */
     public boolean owns(Slot slot) {
-        return slot.number() < 0;
+        return !deposed && active.contains(slot);
+    }
+
+    /**
+     * Returns the host that owns a slot as far as this host knows.
+     *
+     * @param slot the slot
+     * @return the owner read last, or the host that should own it; empty before hosts were seen
+     */
+    public Optional<HostId> ownerOf(Slot slot) {
+        return ownership.ownerOf(slot);
     }
 }
--- a/core/src/main/java/org/celerygw/core/owner/OwnerSettings.java
+++ b/core/src/main/java/org/celerygw/core/owner/OwnerSettings.java
@@ -1,5 +1,8 @@
 package org.celerygw.core.owner;
 
+import org.celerygw.core.journal.Journal;
+import org.celerygw.core.ownership.Ownership;
+
 /**
  * How an owner paces itself.
  *
@@ -26,4 +29,12 @@
     /** Settings for a deployment of today's size. */
     public static final OwnerSettings DEFAULT =
             new OwnerSettings(20, 512, 6_000, 1_500, 86_400_000L, 200_000, 65_536, 5_000, 10_000);
+
+    Journal.Pace pace() {
+        return new Journal.Pace(commitIntervalMs, batchRecords, heartbeatMs, inlineBytes);
+    }
+
+    Ownership.Lease lease() {
+        return new Ownership.Lease(leaseMs, heartbeatMs);
+    }
 }
