--- /dev/null
+++ b/core/src/main/java/org/celerygw/core/routing/LoadReport.java
@@ -0,0 +1,12 @@
+package org.celerygw.core.routing;
+
+/**
+ * An engine's load at an earlier time.
+ *
+ * @param asOfMs when the engine took the figures, in milliseconds since 1970
+ * @param running calls in its batch
+ * @param waiting calls in its queue
+ * @param queuedPrefillTokens prompt tokens that it has still to compute, for calls running or waiting
+ * @param cacheAgeMs how long the block evicted last had been idle; 0 when nothing was evicted yet
+ */
+public record LoadReport(long asOfMs, int running, int waiting, long queuedPrefillTokens, long cacheAgeMs) {}
--- /dev/null
+++ b/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
@@ -0,0 +1,147 @@
+package org.celerygw.core.routing;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ObjIntConsumer;
+
+/**
+ * Which engines hold which prompt prefixes. Only some prefix lengths are kept, four in each doubling, and the whole
+ * length of each prompt, so that the cost of a prompt grows with the logarithm of its length.
+ */
+final class PrefixIndex {
+    private static final int MAX_HOLDERS = 16;
+    private static final int SWEEP_STEPS = 64;
+
+    private final long idleMs;
+    private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>(1024, 0.75f, true);
+
+    PrefixIndex(long idleMs) {
+        this.idleMs = idleMs;
+    }
+
+    /** The engines that hold one prefix, the latest use of each. */
+    private static final class Holders {
+        private Engine[] engines = new Engine[2];
+        private long[] usedMs = new long[2];
+        private int size;
+        private long lastMs;
+
+        void put(Engine engine, long nowMs) {
+            lastMs = nowMs;
+            int at = indexOf(engine);
+            if (at < 0) {
+                at = size < MAX_HOLDERS ? grow() : oldest();
+            }
+            engines[at] = engine;
+            usedMs[at] = nowMs;
+        }
+
+        private int grow() {
+            if (size == engines.length) {
+                engines = Arrays.copyOf(engines, size * 2);
+                usedMs = Arrays.copyOf(usedMs, size * 2);
+            }
+            return size++;
+        }
+
+        private int oldest() {
+            int at = 0;
+            for (int i = 1; i < size; i++) {
+                at = usedMs[i] < usedMs[at] ? i : at;
+            }
+            return at;
+        }
+
+        int indexOf(Engine engine) {
+            for (int i = 0; i < size; i++) {
+                if (engines[i] == engine) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+
+        void remove(Engine engine) {
+            int at = indexOf(engine);
+            if (at < 0) {
+                return;
+            }
+            size--;
+            engines[at] = engines[size];
+            usedMs[at] = usedMs[size];
+        }
+
+        boolean valid(int at, long nowMs) {
+            Engine e = engines[at];
+            long age = e.cacheAgeMs();
+            return e.takesWork() && (age == 0 || nowMs - usedMs[at] <= age);
+        }
+    }
+
+    /** Returns the next shorter kept length, or 0. */
+    static int shorter(int blocks) {
+        if (blocks <= 8) {
+            return blocks - 1;
+        }
+        int step = Math.max(1, Integer.highestOneBit(blocks - 1) / 4);
+        return (blocks - 1) / step * step;
+    }
+
+    void add(List<Long> hashes, Engine engine, long nowMs) {
+        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
+            byHash.computeIfAbsent(hashes.get(blocks - 1), h -> new Holders()).put(engine, nowMs);
+        }
+        sweep(nowMs);
+    }
+
+    /**
+     * Calls back for each engine that holds a prefix of the prompt, with the blocks held; the longest comes first
+     * and an engine may come again with fewer.
+     */
+    void match(List<Long> hashes, long nowMs, ObjIntConsumer<Engine> found) {
+        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
+            report(hashes.get(blocks - 1), blocks, nowMs, found);
+        }
+    }
+
+    private void report(Long hash, int blocks, long nowMs, ObjIntConsumer<Engine> found) {
+        Holders holders = byHash.get(hash);
+        if (holders == null) {
+            return;
+        }
+        for (int i = 0; i < holders.size; i++) {
+            if (holders.valid(i, nowMs)) {
+                found.accept(holders.engines[i], blocks);
+            }
+        }
+    }
+
+    boolean holds(Long hash, Engine engine, long nowMs) {
+        Holders holders = byHash.get(hash);
+        int at = holders == null ? -1 : holders.indexOf(engine);
+        return at >= 0 && holders.valid(at, nowMs);
+    }
+
+    void removed(Engine engine, List<Long> hashes) {
+        for (Long hash : hashes) {
+            Holders holders = byHash.get(hash);
+            if (holders != null) {
+                holders.remove(engine);
+            }
+        }
+    }
+
+    /** Drops a few of the entries idle longest, so that the index stays bounded by what is in use. */
+    private void sweep(long nowMs) {
+        var eldest = byHash.entrySet().iterator();
+        for (int i = 0; i < SWEEP_STEPS && eldest.hasNext(); i++) {
+            Map.Entry<Long, Holders> entry = eldest.next();
+            if (nowMs - entry.getValue().lastMs < idleMs) {
+                return;
+            }
+            eldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/celerygw/core/routing/DispatcherTest.java
@@ -0,0 +1,281 @@
+package org.celerygw.core.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.id.AvailabilityZone;
+import org.celerygw.core.id.BackendServerId;
+import org.celerygw.core.id.CustomerId;
+import org.celerygw.core.id.ModelName;
+import org.celerygw.core.id.PriorityClassName;
+import org.celerygw.core.id.ProgramId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class DispatcherTest {
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+    private static final ModelName MODEL = new ModelName("m");
+    private static final PriorityClassName SESSION = new PriorityClassName("session");
+    private static final PriorityClassName BATCH = new PriorityClassName("batch");
+    private static final long NOW_MS = 1_000_000;
+
+    private Dispatcher dispatcher;
+
+    @BeforeMethod
+    public void makeDispatcher() {
+        dispatcher = make(DispatcherSettings.DEFAULT, 3, List.of());
+    }
+
+    private static Dispatcher make(DispatcherSettings settings, int engines, List<CustomerShare> shares) {
+        Dispatcher made = new Dispatcher(settings, ZONE, RandomSource.XO_RO_SHI_RO_128_PP.create(7L));
+        List<EngineInfo> infos = IntStream.range(0, engines)
+                .mapToObj(i -> new EngineInfo(engine(i), ZONE, Set.of(MODEL), false))
+                .toList();
+        made.configure(infos, List.of(new ClassInfo(SESSION, 0, 10_000), new ClassInfo(BATCH, 1, 10_000)), shares);
+        return made;
+    }
+
+    private static BackendServerId engine(int i) {
+        return new BackendServerId("e" + i);
+    }
+
+    private static WorkItem item(long ticket, String program, PriorityClassName cls, long attained, int blocks) {
+        List<Long> hashes = LongStream.range(0, blocks)
+                .mapToObj(b -> program.hashCode() * 1_000_003L + b)
+                .toList();
+        return new WorkItem(
+                ticket,
+                new ProgramId(program),
+                new CustomerId("c"),
+                cls,
+                MODEL,
+                NOW_MS + 60_000,
+                NOW_MS + 600_000,
+                attained,
+                blocks * WorkItem.BLOCK_TOKENS,
+                100,
+                hashes,
+                true);
+    }
+
+    private Decision.Start startOne(WorkItem item, long nowMs) {
+        assertTrue(dispatcher.offer(item, nowMs).accepted());
+        List<Decision> out = dispatcher.next(nowMs);
+        assertEquals(out.size(), 1);
+        return (Decision.Start) out.get(0);
+    }
+
+    @Test
+    public void programReturnsToTheEngineThatHoldsItsPrefix() {
+        Decision.Start first = startOne(item(1, "p", SESSION, 0, 100), NOW_MS);
+        dispatcher.ended(1, true, 128, NOW_MS + 1000);
+        Decision.Start second = startOne(item(2, "p", SESSION, 500, 110), NOW_MS + 2000);
+        assertEquals(second.engine(), first.engine());
+        assertTrue(second.line().endsWith("affinity kept"), second.line());
+    }
+
+    @Test
+    public void evictedPrefixNoLongerBindsTheProgram() {
+        Decision.Start first = startOne(item(1, "p", SESSION, 0, 100), NOW_MS);
+        dispatcher.ended(1, true, 128, NOW_MS + 1000);
+        dispatcher.cacheEvents(
+                first.engine(), new CacheEvents(1, item(1, "p", SESSION, 0, 100).prefixHashes()));
+        Decision.Start second = startOne(item(2, "p", SESSION, 500, 110), NOW_MS + 2000);
+        assertTrue(second.line().endsWith("no cache"), second.line());
+    }
+
+    @Test
+    public void affinityYieldsWhenTheHolderIsFarBehind() {
+        Decision.Start first = startOne(item(1, "p", SESSION, 0, 20), NOW_MS);
+        dispatcher.ended(1, true, 10, NOW_MS + 1000);
+        dispatcher.loadReport(first.engine(), new LoadReport(NOW_MS + 1900, 40, 0, 200_000, 0));
+        Decision.Start second = startOne(item(2, "p", SESSION, 500, 22), NOW_MS + 2000);
+        assertFalse(second.engine().equals(first.engine()));
+        assertTrue(second.line().endsWith("affinity yielded"), second.line());
+    }
+
+    @Test
+    public void leavingEngineGetsNoNewWorkEvenWhenConfiguredAgain() {
+        dispatcher.leaving(engine(0));
+        dispatcher.leaving(engine(1));
+        dispatcher.configure(
+                IntStream.range(0, 3)
+                        .mapToObj(i -> new EngineInfo(engine(i), ZONE, Set.of(MODEL), false))
+                        .toList(),
+                List.of(),
+                List.of());
+        for (int i = 0; i < 20; i++) {
+            assertEquals(startOne(item(i, "p" + i, SESSION, 0, 5), NOW_MS).engine(), engine(2));
+        }
+    }
+
+    @Test
+    public void sessionStartsBeforeBatchThatCameEarlier() {
+        DispatcherSettings d = DispatcherSettings.DEFAULT;
+        dispatcher = make(new DispatcherSettings(1, d.choices(), 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
+        assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS + 1).accepted());
+        assertTrue(dispatcher.offer(item(3, "p3", SESSION, 5, 1), NOW_MS + 2).accepted());
+        assertTrue(dispatcher.next(NOW_MS + 3).isEmpty());
+        dispatcher.ended(1, true, 10, NOW_MS + 4);
+        assertEquals(dispatcher.next(NOW_MS + 5).get(0).ticket(), 3);
+    }
+
+    @Test
+    public void batchThatWaitedPastItsAgeingGoesBeforeANewSession() {
+        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
+        assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS + 1).accepted());
+        assertTrue(
+                dispatcher.offer(item(3, "p3", SESSION, 5, 1), NOW_MS + 10_500).accepted());
+        dispatcher.ended(1, true, 10, NOW_MS + 10_600);
+        assertEquals(dispatcher.next(NOW_MS + 10_601).get(0).ticket(), 2);
+    }
+
+    @Test
+    public void customerAtItsLimitIsRefusedWithAHint() {
+        DispatcherSettings d = DispatcherSettings.DEFAULT;
+        dispatcher = make(
+                new DispatcherSettings(1, d.choices(), 10, 5_000, 8, 0, 1, 0, 0, 0, 0, 1_000),
+                1,
+                List.of(new CustomerShare(new CustomerId("c"), 1, 2)));
+        startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
+        startOne(item(2, "p2", BATCH, 0, 1), NOW_MS);
+        Admission third = dispatcher.offer(item(3, "p3", BATCH, 0, 1), NOW_MS);
+        assertEquals(third.refusal(), ErrorCode.CUSTOMER_LIMIT);
+        assertTrue(third.retryAfterMs() > 0);
+    }
+
+    @Test
+    public void modelWithoutEngineIsRefused() {
+        dispatcher = make(DispatcherSettings.DEFAULT, 0, List.of());
+        assertEquals(dispatcher.offer(item(1, "p", BATCH, 0, 1), NOW_MS).refusal(), ErrorCode.NO_BACKEND);
+    }
+
+    @Test
+    public void callWhoseDeadlinePassedWhileWaitingIsDroppedBeforeItCosts() {
+        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
+        assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS).accepted());
+        Decision.Drop drop = (Decision.Drop) dispatcher.next(NOW_MS + 60_000).get(0);
+        assertEquals(drop.code(), ErrorCode.DEADLINE_EXCEEDED);
+        assertEquals(dispatcher.waitingCalls(), 0);
+    }
+
+    @Test
+    public void fullQueueShedsTheLowestClass() {
+        dispatcher = make(new DispatcherSettings(1, 8, 1, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
+        assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS).accepted());
+        assertTrue(dispatcher.offer(item(3, "p3", SESSION, 5, 1), NOW_MS).accepted());
+        Decision.Drop drop = (Decision.Drop) dispatcher.next(NOW_MS).get(0);
+        assertEquals(drop.ticket(), 2);
+        assertEquals(drop.code(), ErrorCode.OVERLOADED);
+        assertEquals(dispatcher.offer(item(4, "p4", BATCH, 5, 1), NOW_MS).refusal(), ErrorCode.OVERLOADED);
+    }
+
+    @Test
+    public void failingEngineIsEjectedAndReturnsStepByStep() {
+        dispatcher = make(DispatcherSettings.DEFAULT, 2, List.of());
+        dispatcher.leaving(engine(1));
+        dispatcher.configure(
+                List.of(
+                        new EngineInfo(engine(0), ZONE, Set.of(MODEL), false),
+                        new EngineInfo(new BackendServerId("fresh"), ZONE, Set.of(MODEL), false)),
+                List.of(),
+                List.of());
+        long ticket = 0;
+        int failed = 0;
+        while (failed < 3) {
+            BackendServerId at = startOne(item(++ticket, "p" + ticket, SESSION, 0, 1), NOW_MS)
+                    .engine();
+            boolean bad = at.equals(engine(0));
+            failed += bad ? 1 : 0;
+            dispatcher.ended(ticket, !bad, 10, NOW_MS);
+        }
+        for (int i = 0; i < 10; i++) {
+            ticket++;
+            BackendServerId at = startOne(item(ticket, "p" + ticket, SESSION, 0, 1), NOW_MS + 10)
+                    .engine();
+            assertEquals(at, new BackendServerId("fresh"));
+        }
+        long returned = IntStream.range(100, 120)
+                .filter(i -> startOne(item(i, "p" + i, SESSION, 0, 1), NOW_MS + 2_000)
+                        .engine()
+                        .equals(engine(0)))
+                .count();
+        assertEquals(returned, 1);
+    }
+
+    @Test
+    public void releaseIsRepeatedUntilConfirmed() {
+        Decision.Start start = startOne(item(1, "p", SESSION, 0, 5), NOW_MS);
+        dispatcher.ended(1, true, 10, NOW_MS);
+        dispatcher.programEnded(new ProgramId("p"), NOW_MS);
+        Release expected = new Release(start.engine(), new ProgramId("p"));
+        assertEquals(dispatcher.releases(NOW_MS), List.of(expected));
+        assertEquals(dispatcher.releases(NOW_MS + 500), List.of());
+        assertEquals(dispatcher.releases(NOW_MS + 1_000), List.of(expected));
+        dispatcher.released(start.engine(), new ProgramId("p"));
+        assertEquals(dispatcher.releases(NOW_MS + 5_000), List.of());
+    }
+
+    @Test
+    public void callThatEndsAfterItsProgramIsReleasedAgain() {
+        Decision.Start start = startOne(item(1, "p", SESSION, 0, 5), NOW_MS);
+        dispatcher.programEnded(new ProgramId("p"), NOW_MS);
+        dispatcher.releases(NOW_MS);
+        dispatcher.released(start.engine(), new ProgramId("p"));
+        dispatcher.ended(1, false, 0, NOW_MS + 100);
+        assertEquals(dispatcher.releases(NOW_MS + 100).size(), 1);
+    }
+
+    @Test
+    public void sweepReleasesWhatADeadOwnerLeft() {
+        dispatcher.sweep(
+                engine(1),
+                List.of(new ProgramId("dead"), new ProgramId("alive")),
+                p -> p.value().equals("alive"),
+                NOW_MS);
+        assertEquals(dispatcher.releases(NOW_MS), List.of(new Release(engine(1), new ProgramId("dead"))));
+    }
+
+    @Test
+    public void retriesStopWhenTheBudgetIsSpent() {
+        int allowed = 0;
+        for (int i = 1; i <= 100; i++) {
+            dispatcher.offer(item(i, "p" + i, SESSION, 5, 1), NOW_MS + i * 40_000L);
+            List<Decision> out = dispatcher.next(NOW_MS);
+            if (!out.isEmpty()) {
+                allowed += dispatcher.ended(i, false, 0, NOW_MS) ? 1 : 0;
+            }
+        }
+        assertTrue(allowed <= 31, "retries allowed: " + allowed);
+    }
+
+    @Test
+    public void callThatMayNotBeRepeatedIsNeverOfferedForRetry() {
+        WorkItem once = new WorkItem(
+                1,
+                new ProgramId("p"),
+                new CustomerId("c"),
+                SESSION,
+                MODEL,
+                NOW_MS + 60_000,
+                NOW_MS + 60_000,
+                0,
+                64,
+                10,
+                List.of(1L),
+                false);
+        startOne(once, NOW_MS);
+        assertFalse(dispatcher.ended(1, false, 0, NOW_MS));
+    }
+}
