--- /dev/null
+++ b/core/src/main/java/org/celerygw/core/membership/Records.java
@@ -0,0 +1,51 @@
+package org.celerygw.core.membership;
+
+import org.celerygw.core.gen.fleet.MemberRecord;
+import org.celerygw.core.gen.fleet.RecordState;
+import org.celerygw.core.id.AvailabilityZone;
+import org.celerygw.core.id.HostId;
+
+/** Converts between members and their records in datagrams. */
+final class Records {
+    private Records() {}
+
+    static MemberRecord alive(Member member, int incarnation) {
+        return MemberRecord.newBuilder()
+                .setHost(member.host().value())
+                .setIncarnation(incarnation)
+                .setState(RecordState.ALIVE)
+                .setAddress(member.address())
+                .setGossipPort(member.gossipPort())
+                .setPeerPort(member.peerPort())
+                .setHttpPort(member.httpPort())
+                .setZone(member.zone().value())
+                .setRelease(member.release())
+                .setStartedMs(member.startedMs())
+                .setConfigVersion(member.configVersion())
+                .setLeaving(member.leaving())
+                .build();
+    }
+
+    /** A record that only names the member and its state. */
+    static MemberRecord brief(HostId host, int incarnation, RecordState state) {
+        return MemberRecord.newBuilder()
+                .setHost(host.value())
+                .setIncarnation(incarnation)
+                .setState(state)
+                .build();
+    }
+
+    static Member member(MemberRecord record) {
+        return new Member(
+                new HostId(record.getHost()),
+                record.getAddress(),
+                record.getGossipPort(),
+                record.getPeerPort(),
+                record.getHttpPort(),
+                new AvailabilityZone(record.getZone()),
+                record.getRelease(),
+                record.getStartedMs(),
+                record.getConfigVersion(),
+                record.getLeaving());
+    }
+}
