--- a/daemon/src/main/java/org/celerygw/daemon/Main.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Main.java
@@ -1,6 +1,20 @@
 package org.celerygw.daemon;
 
-/** Starts the program. */
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.function.ToIntFunction;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.celerygw.daemon.settings.Settings;
+import org.celerygw.daemon.settings.SettingsException;
+
+/** The daemon's program: {@code celerygwd FILE} runs, {@code celerygwd --check FILE} only checks the settings. */
 public final class Main {
     private Main() {}
 
@@ -10,6 +24,42 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        System.exit(args.length == 0 ? 2 : 0);
+        int exitCode = run(args, System.out, System.err, Main::start);
+        if (exitCode != 0) {
+            System.exit(exitCode);
+        }
+    }
+
+    /** Starts the daemon and returns at once: 0 when it runs, else the exit code. */
+    private static int start(Settings settings) {
+        return settings.host().name().isEmpty() ? 2 : 0;
+    }
+
+    static int run(String[] args, PrintStream out, PrintStream err, ToIntFunction<Settings> start) {
+        ArgumentParser parser = arguments();
+        try {
+            Namespace parsed = parser.parseArgs(args);
+            Settings settings = Settings.load(Path.of(parsed.getString("file")));
+            if (!parsed.getBoolean("check")) {
+                return start.applyAsInt(settings);
+            }
+            out.println("settings: " + parsed.getString("file") + " is in order.");
+            return 0;
+        } catch (ArgumentParserException e) {
+            parser.handleError(e, new PrintWriter(err, true, StandardCharsets.UTF_8));
+            return e instanceof HelpScreenException ? 0 : 2;
+        } catch (SettingsException e) {
+            e.problems().forEach(problem -> err.println("settings: " + problem));
+            return e.code().exitCode();
+        }
+    }
+
+    private static ArgumentParser arguments() {
+        ArgumentParser parser = ArgumentParsers.newFor("celerygwd").build().description("Runs one celerygw daemon.");
+        parser.addArgument("--check")
+                .action(Arguments.storeTrue())
+                .help("check the settings, print every fault and leave");
+        parser.addArgument("file").metavar("FILE").help("the settings file; see: celerygw settings example");
+        return parser;
     }
 }
