Serve the platform's store by a stand-in and reach it over HTTP

Cause: daemons in separate processes need one shared store, with faults. Conclusion: the daemon can be wired to the store.

--- /dev/null
+++ b/daemon/src/main/java/org/celerygw/daemon/store/HttpObjects.java
@@ -0,0 +1,47 @@
+package org.celerygw.daemon.store;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.function.Consumer;
+import org.celerygw.core.helper.Check;
+import org.celerygw.core.store.ObjectStore;
+
+/** The platform's object store over HTTP. */
+final class HttpObjects implements ObjectStore {
+    private final StoreClient client;
+
+    HttpObjects(StoreClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public void put(String name, ByteString content, Consumer<Boolean> done) {
+        client.send(
+                HttpMethod.PUT, path(name), Buffer.buffer(content.toByteArray()), reply -> done.accept(reply.isOk()));
+    }
+
+    @Override
+    public void get(String name, Consumer<Fetched> done) {
+        client.get(path(name), reply -> done.accept(fetched(reply)));
+    }
+
+    @Override
+    public void delete(String name, Consumer<Boolean> done) {
+        client.send(HttpMethod.DELETE, path(name), Buffer.buffer(), reply -> done.accept(reply.isOk()));
+    }
+
+    private static Fetched fetched(StoreClient.Reply reply) {
+        return switch (reply.status()) {
+            case 200 ->
+                new Fetched(Status.FOUND, ByteString.copyFrom(reply.body().getBytes()));
+            case 404 -> new Fetched(Status.ABSENT, ByteString.EMPTY);
+            default -> new Fetched(Status.UNAVAILABLE, ByteString.EMPTY);
+        };
+    }
+
+    /** Plain names need no escapes in a path. */
+    private static String path(String name) {
+        return "/objects/" + Check.name(name, "object name");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/celerygw/daemon/store/PlatformStoreTest.java
@@ -0,0 +1,140 @@
+package org.celerygw.daemon.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Vertx;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.celerygw.core.store.ObjectStore;
+import org.celerygw.core.store.Row;
+import org.celerygw.core.store.Table;
+import org.celerygw.core.store.Txn;
+import org.celerygw.core.store.TxnResult;
+import org.celerygw.standin.Fault;
+import org.celerygw.standin.StoreOptions;
+import org.celerygw.standin.StoreServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class PlatformStoreTest {
+    private static final long TIMEOUT_MS = 300;
+    private static final ByteString VALUE = ByteString.copyFromUtf8("value");
+
+    private Vertx vertx;
+    private StoreServer server;
+    private PlatformStore store;
+
+    @BeforeMethod
+    public void start() {
+        vertx = Vertx.vertx();
+        server = StoreServer.start(vertx, new StoreOptions(0, 0, 1_000_000, 1_000))
+                .await();
+        store = PlatformStore.connect(vertx, URI.create(server.uri()), TIMEOUT_MS);
+    }
+
+    @AfterMethod
+    public void stop() {
+        vertx.close().await();
+    }
+
+    @Test
+    public void writesOnlyWhenTheConditionHoldsAndTellsWhatItFound() throws Exception {
+        assertEquals(put("a", 0), TxnResult.COMMITTED);
+        TxnResult second = put("a", 0);
+        assertEquals(second.status(), TxnResult.Status.CONFLICT);
+        assertEquals(second.found(), List.of(new Row("a", 1, VALUE)));
+        assertEquals(put("a", 1), TxnResult.COMMITTED);
+        assertEquals(read("a", "b").rows(), List.of(new Row("a", 2, VALUE), Row.absent("b")));
+    }
+
+    @Test
+    public void scansByPrefixInPages() throws Exception {
+        for (String key : List.of("p/1", "p/2", "p/3", "q/1")) {
+            put(key, 0);
+        }
+        Table.Answer first = wait(done -> store.table().scan("p/", "", 2, done));
+        Table.Answer next = wait(done -> store.table().scan("p/", "p/2", 2, done));
+        assertEquals(first.rows().stream().map(Row::key).toList(), List.of("p/1", "p/2"));
+        assertEquals(next.rows().stream().map(Row::key).toList(), List.of("p/3"));
+    }
+
+    @Test
+    public void aLostAnswerIsUnknownThoughTheWriteTookEffect() throws Exception {
+        server.faults().next(Fault.LOST_ANSWER, 1);
+        assertEquals(put("a", 0), TxnResult.UNKNOWN);
+        assertEquals(read("a").rows().get(0).version(), 1);
+    }
+
+    @Test
+    public void aRefusedWriteIsUnknownAndHasNoEffect() throws Exception {
+        server.faults().next(Fault.REFUSED, 1);
+        assertEquals(put("a", 0), TxnResult.UNKNOWN);
+        assertEquals(read("a").rows().get(0).version(), 0);
+    }
+
+    @Test
+    public void aSlowStoreYieldsUnknownAndTheWriteLandsLater() throws Exception {
+        server.faults().slowMs(3 * TIMEOUT_MS);
+        assertEquals(put("a", 0), TxnResult.UNKNOWN);
+        server.faults().clear();
+        while (read("a").rows().get(0).version() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void aStoreThatIsDownFailsReadsWithoutAnException() throws Exception {
+        server.faults().always(Fault.DOWN);
+        assertFalse(read("a").ok());
+        assertEquals(put("a", 0), TxnResult.UNKNOWN);
+        ObjectStore.Fetched fetched = wait(done -> store.objects().get("o", done));
+        assertEquals(fetched.status(), ObjectStore.Status.UNAVAILABLE);
+    }
+
+    @Test
+    public void aStoreThatDoesNotListenFailsReadsWithoutAnException() throws Exception {
+        server.close().await();
+        assertFalse(read("a").ok());
+        assertFalse(wait(store::hosts).ok());
+    }
+
+    @Test
+    public void aSilentConnectionIsDroppedAndANewOneUsed() throws Exception {
+        assertTrue(read("a").ok());
+        server.silenceConnections();
+        assertFalse(read("a").ok());
+        assertTrue(read("a").ok());
+    }
+
+    @Test
+    public void objectsAreReadBackWholeUntilDeleted() throws Exception {
+        assertTrue(wait(done -> store.objects().put("seg/1", VALUE, done)));
+        ObjectStore.Fetched there = wait(done -> store.objects().get("seg/1", done));
+        assertEquals(there, new ObjectStore.Fetched(ObjectStore.Status.FOUND, VALUE));
+        assertTrue(wait(done -> store.objects().delete("seg/1", done)));
+        ObjectStore.Fetched gone = wait(done -> store.objects().get("seg/1", done));
+        assertEquals(gone.status(), ObjectStore.Status.ABSENT);
+    }
+
+    private TxnResult put(String key, long version) throws Exception {
+        Txn txn = new Txn(List.of(new Txn.Condition(key, version)), List.of(Txn.Change.put(key, VALUE)));
+        return wait(done -> store.table().write(txn, done));
+    }
+
+    private Table.Answer read(String... keys) throws Exception {
+        return wait(done -> store.table().read(List.of(keys), done));
+    }
+
+    private <T> T wait(Consumer<Consumer<T>> call) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        vertx.runOnContext(v -> call.accept(result::complete));
+        return result.get(20, TimeUnit.SECONDS);
+    }
+}
