--- a/core/src/main/java/org/celerygw/core/call/Prompt.java
+++ b/core/src/main/java/org/celerygw/core/call/Prompt.java
@@ -13,7 +13,7 @@
  */
 public record Prompt(String text) {
     /** The tokens of one block. */
-    public static final int BLOCK_TOKENS = 16;
+    public static final int BLOCK_TOKENS = 64;
 
     private static final int TOKEN_CHARS = 4;
     private static final int BLOCK_CHARS = BLOCK_TOKENS * TOKEN_CHARS;
