--- a/api/src/main/java/org/celerygw/api/gen/peer/Frame.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/Frame.java
@@ -62,6 +62,8 @@
     PING(7),
     PONG(8),
     CREDIT(9),
+    PROOF(10),
+    GO_AWAY(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -87,6 +89,8 @@
         case 7: return PING;
         case 8: return PONG;
         case 9: return CREDIT;
+        case 10: return PROOF;
+        case 11: return GO_AWAY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -365,6 +369,68 @@
     return org.celerygw.api.gen.peer.Credit.getDefaultInstance();
   }
 
+  public static final int PROOF_FIELD_NUMBER = 10;
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   * @return Whether the proof field is set.
+   */
+  @java.lang.Override
+  public boolean hasProof() {
+    return bodyCase_ == 10;
+  }
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   * @return The proof.
+   */
+  @java.lang.Override
+  public org.celerygw.api.gen.peer.Proof getProof() {
+    if (bodyCase_ == 10) {
+       return (org.celerygw.api.gen.peer.Proof) body_;
+    }
+    return org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+  }
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.api.gen.peer.ProofOrBuilder getProofOrBuilder() {
+    if (bodyCase_ == 10) {
+       return (org.celerygw.api.gen.peer.Proof) body_;
+    }
+    return org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+  }
+
+  public static final int GO_AWAY_FIELD_NUMBER = 11;
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   * @return Whether the goAway field is set.
+   */
+  @java.lang.Override
+  public boolean hasGoAway() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   * @return The goAway.
+   */
+  @java.lang.Override
+  public org.celerygw.api.gen.peer.GoAway getGoAway() {
+    if (bodyCase_ == 11) {
+       return (org.celerygw.api.gen.peer.GoAway) body_;
+    }
+    return org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+  }
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.api.gen.peer.GoAwayOrBuilder getGoAwayOrBuilder() {
+    if (bodyCase_ == 11) {
+       return (org.celerygw.api.gen.peer.GoAway) body_;
+    }
+    return org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -406,6 +472,12 @@
     if (bodyCase_ == 9) {
       output.writeMessage(9, (org.celerygw.api.gen.peer.Credit) body_);
     }
+    if (bodyCase_ == 10) {
+      output.writeMessage(10, (org.celerygw.api.gen.peer.Proof) body_);
+    }
+    if (bodyCase_ == 11) {
+      output.writeMessage(11, (org.celerygw.api.gen.peer.GoAway) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -451,6 +523,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (org.celerygw.api.gen.peer.Credit) body_);
     }
+    if (bodyCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (org.celerygw.api.gen.peer.Proof) body_);
+    }
+    if (bodyCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.celerygw.api.gen.peer.GoAway) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -502,6 +582,14 @@
         if (!getCredit()
             .equals(other.getCredit())) return false;
         break;
+      case 10:
+        if (!getProof()
+            .equals(other.getProof())) return false;
+        break;
+      case 11:
+        if (!getGoAway()
+            .equals(other.getGoAway())) return false;
+        break;
       case 0:
       default:
     }
@@ -552,6 +640,14 @@
         hash = (37 * hash) + CREDIT_FIELD_NUMBER;
         hash = (53 * hash) + getCredit().hashCode();
         break;
+      case 10:
+        hash = (37 * hash) + PROOF_FIELD_NUMBER;
+        hash = (53 * hash) + getProof().hashCode();
+        break;
+      case 11:
+        hash = (37 * hash) + GO_AWAY_FIELD_NUMBER;
+        hash = (53 * hash) + getGoAway().hashCode();
+        break;
       case 0:
       default:
     }
@@ -711,6 +807,12 @@
       if (creditBuilder_ != null) {
         creditBuilder_.clear();
       }
+      if (proofBuilder_ != null) {
+        proofBuilder_.clear();
+      }
+      if (goAwayBuilder_ != null) {
+        goAwayBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -787,6 +889,14 @@
           creditBuilder_ != null) {
         result.body_ = creditBuilder_.build();
       }
+      if (bodyCase_ == 10 &&
+          proofBuilder_ != null) {
+        result.body_ = proofBuilder_.build();
+      }
+      if (bodyCase_ == 11 &&
+          goAwayBuilder_ != null) {
+        result.body_ = goAwayBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -837,6 +947,14 @@
           mergeCredit(other.getCredit());
           break;
         }
+        case PROOF: {
+          mergeProof(other.getProof());
+          break;
+        }
+        case GO_AWAY: {
+          mergeGoAway(other.getGoAway());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -928,6 +1046,20 @@
               bodyCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetProofFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 10;
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetGoAwayFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 11;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2140,6 +2272,290 @@
       return creditBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.api.gen.peer.Proof, org.celerygw.api.gen.peer.Proof.Builder, org.celerygw.api.gen.peer.ProofOrBuilder> proofBuilder_;
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     * @return Whether the proof field is set.
+     */
+    @java.lang.Override
+    public boolean hasProof() {
+      return bodyCase_ == 10;
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     * @return The proof.
+     */
+    @java.lang.Override
+    public org.celerygw.api.gen.peer.Proof getProof() {
+      if (proofBuilder_ == null) {
+        if (bodyCase_ == 10) {
+          return (org.celerygw.api.gen.peer.Proof) body_;
+        }
+        return org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 10) {
+          return proofBuilder_.getMessage();
+        }
+        return org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    public Builder setProof(org.celerygw.api.gen.peer.Proof value) {
+      if (proofBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        proofBuilder_.setMessage(value);
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    public Builder setProof(
+        org.celerygw.api.gen.peer.Proof.Builder builderForValue) {
+      if (proofBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        proofBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    public Builder mergeProof(org.celerygw.api.gen.peer.Proof value) {
+      if (proofBuilder_ == null) {
+        if (bodyCase_ == 10 &&
+            body_ != org.celerygw.api.gen.peer.Proof.getDefaultInstance()) {
+          body_ = org.celerygw.api.gen.peer.Proof.newBuilder((org.celerygw.api.gen.peer.Proof) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 10) {
+          proofBuilder_.mergeFrom(value);
+        } else {
+          proofBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    public Builder clearProof() {
+      if (proofBuilder_ == null) {
+        if (bodyCase_ == 10) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 10) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        proofBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    public org.celerygw.api.gen.peer.Proof.Builder getProofBuilder() {
+      return internalGetProofFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    @java.lang.Override
+    public org.celerygw.api.gen.peer.ProofOrBuilder getProofOrBuilder() {
+      if ((bodyCase_ == 10) && (proofBuilder_ != null)) {
+        return proofBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 10) {
+          return (org.celerygw.api.gen.peer.Proof) body_;
+        }
+        return org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.celerygw.peer.Proof proof = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.api.gen.peer.Proof, org.celerygw.api.gen.peer.Proof.Builder, org.celerygw.api.gen.peer.ProofOrBuilder> 
+        internalGetProofFieldBuilder() {
+      if (proofBuilder_ == null) {
+        if (!(bodyCase_ == 10)) {
+          body_ = org.celerygw.api.gen.peer.Proof.getDefaultInstance();
+        }
+        proofBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.api.gen.peer.Proof, org.celerygw.api.gen.peer.Proof.Builder, org.celerygw.api.gen.peer.ProofOrBuilder>(
+                (org.celerygw.api.gen.peer.Proof) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 10;
+      onChanged();
+      return proofBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.api.gen.peer.GoAway, org.celerygw.api.gen.peer.GoAway.Builder, org.celerygw.api.gen.peer.GoAwayOrBuilder> goAwayBuilder_;
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     * @return Whether the goAway field is set.
+     */
+    @java.lang.Override
+    public boolean hasGoAway() {
+      return bodyCase_ == 11;
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     * @return The goAway.
+     */
+    @java.lang.Override
+    public org.celerygw.api.gen.peer.GoAway getGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          return (org.celerygw.api.gen.peer.GoAway) body_;
+        }
+        return org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 11) {
+          return goAwayBuilder_.getMessage();
+        }
+        return org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    public Builder setGoAway(org.celerygw.api.gen.peer.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(value);
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    public Builder setGoAway(
+        org.celerygw.api.gen.peer.GoAway.Builder builderForValue) {
+      if (goAwayBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        goAwayBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    public Builder mergeGoAway(org.celerygw.api.gen.peer.GoAway value) {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 11 &&
+            body_ != org.celerygw.api.gen.peer.GoAway.getDefaultInstance()) {
+          body_ = org.celerygw.api.gen.peer.GoAway.newBuilder((org.celerygw.api.gen.peer.GoAway) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 11) {
+          goAwayBuilder_.mergeFrom(value);
+        } else {
+          goAwayBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    public Builder clearGoAway() {
+      if (goAwayBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        goAwayBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    public org.celerygw.api.gen.peer.GoAway.Builder getGoAwayBuilder() {
+      return internalGetGoAwayFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    @java.lang.Override
+    public org.celerygw.api.gen.peer.GoAwayOrBuilder getGoAwayOrBuilder() {
+      if ((bodyCase_ == 11) && (goAwayBuilder_ != null)) {
+        return goAwayBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 11) {
+          return (org.celerygw.api.gen.peer.GoAway) body_;
+        }
+        return org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.celerygw.peer.GoAway go_away = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.api.gen.peer.GoAway, org.celerygw.api.gen.peer.GoAway.Builder, org.celerygw.api.gen.peer.GoAwayOrBuilder> 
+        internalGetGoAwayFieldBuilder() {
+      if (goAwayBuilder_ == null) {
+        if (!(bodyCase_ == 11)) {
+          body_ = org.celerygw.api.gen.peer.GoAway.getDefaultInstance();
+        }
+        goAwayBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.api.gen.peer.GoAway, org.celerygw.api.gen.peer.GoAway.Builder, org.celerygw.api.gen.peer.GoAwayOrBuilder>(
+                (org.celerygw.api.gen.peer.GoAway) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 11;
+      onChanged();
+      return goAwayBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peer.Frame)
   }
 
--- a/api/src/main/java/org/celerygw/api/gen/peer/FrameOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/FrameOrBuilder.java
@@ -140,5 +140,35 @@
    */
   org.celerygw.api.gen.peer.CreditOrBuilder getCreditOrBuilder();
 
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   * @return Whether the proof field is set.
+   */
+  boolean hasProof();
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   * @return The proof.
+   */
+  org.celerygw.api.gen.peer.Proof getProof();
+  /**
+   * <code>.celerygw.peer.Proof proof = 10;</code>
+   */
+  org.celerygw.api.gen.peer.ProofOrBuilder getProofOrBuilder();
+
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   * @return Whether the goAway field is set.
+   */
+  boolean hasGoAway();
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   * @return The goAway.
+   */
+  org.celerygw.api.gen.peer.GoAway getGoAway();
+  /**
+   * <code>.celerygw.peer.GoAway go_away = 11;</code>
+   */
+  org.celerygw.api.gen.peer.GoAwayOrBuilder getGoAwayOrBuilder();
+
   org.celerygw.api.gen.peer.Frame.BodyCase getBodyCase();
 }
--- a/api/src/main/java/org/celerygw/api/gen/peer/Hello.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/Hello.java
@@ -30,6 +30,7 @@
   private Hello() {
     host_ = "";
     release_ = "";
+    nonce_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -139,6 +140,17 @@
     }
   }
 
+  public static final int NONCE_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString nonce_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes nonce = 4;</code>
+   * @return The nonce.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getNonce() {
+    return nonce_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +174,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(release_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, release_);
     }
+    if (!nonce_.isEmpty()) {
+      output.writeBytes(4, nonce_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +196,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(release_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, release_);
     }
+    if (!nonce_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, nonce_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -202,6 +221,8 @@
         .equals(other.getHost())) return false;
     if (!getRelease()
         .equals(other.getRelease())) return false;
+    if (!getNonce()
+        .equals(other.getNonce())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -219,6 +240,8 @@
     hash = (53 * hash) + getHost().hashCode();
     hash = (37 * hash) + RELEASE_FIELD_NUMBER;
     hash = (53 * hash) + getRelease().hashCode();
+    hash = (37 * hash) + NONCE_FIELD_NUMBER;
+    hash = (53 * hash) + getNonce().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -353,6 +376,7 @@
       protocol_ = 0;
       host_ = "";
       release_ = "";
+      nonce_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -395,6 +419,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.release_ = release_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.nonce_ = nonce_;
+      }
     }
 
     @java.lang.Override
@@ -422,6 +449,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (!other.getNonce().isEmpty()) {
+        setNonce(other.getNonce());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -463,6 +493,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 34: {
+              nonce_ = input.readBytes();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -656,6 +691,38 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString nonce_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes nonce = 4;</code>
+     * @return The nonce.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getNonce() {
+      return nonce_;
+    }
+    /**
+     * <code>bytes nonce = 4;</code>
+     * @param value The nonce to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNonce(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      nonce_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes nonce = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNonce() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      nonce_ = getDefaultInstance().getNonce();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peer.Hello)
   }
 
--- a/api/src/main/java/org/celerygw/api/gen/peer/HelloOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/HelloOrBuilder.java
@@ -39,4 +39,10 @@
    */
   com.google.protobuf.ByteString
       getReleaseBytes();
+
+  /**
+   * <code>bytes nonce = 4;</code>
+   * @return The nonce.
+   */
+  com.google.protobuf.ByteString getNonce();
 }
--- a/api/src/main/java/org/celerygw/api/gen/peer/Open.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/Open.java
@@ -100,15 +100,15 @@
     return request_;
   }
 
-  public static final int DEADLINE_MS_FIELD_NUMBER = 3;
-  private long deadlineMs_ = 0L;
+  public static final int TIMEOUT_MS_FIELD_NUMBER = 3;
+  private long timeoutMs_ = 0L;
   /**
-   * <code>int64 deadline_ms = 3;</code>
-   * @return The deadlineMs.
+   * <code>int64 timeout_ms = 3;</code>
+   * @return The timeoutMs.
    */
   @java.lang.Override
-  public long getDeadlineMs() {
-    return deadlineMs_;
+  public long getTimeoutMs() {
+    return timeoutMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -131,8 +131,8 @@
     if (!request_.isEmpty()) {
       output.writeBytes(2, request_);
     }
-    if (deadlineMs_ != 0L) {
-      output.writeInt64(3, deadlineMs_);
+    if (timeoutMs_ != 0L) {
+      output.writeInt64(3, timeoutMs_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -150,9 +150,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, request_);
     }
-    if (deadlineMs_ != 0L) {
+    if (timeoutMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, deadlineMs_);
+        .computeInt64Size(3, timeoutMs_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -173,8 +173,8 @@
         .equals(other.getMethod())) return false;
     if (!getRequest()
         .equals(other.getRequest())) return false;
-    if (getDeadlineMs()
-        != other.getDeadlineMs()) return false;
+    if (getTimeoutMs()
+        != other.getTimeoutMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -190,9 +190,9 @@
     hash = (53 * hash) + getMethod().hashCode();
     hash = (37 * hash) + REQUEST_FIELD_NUMBER;
     hash = (53 * hash) + getRequest().hashCode();
-    hash = (37 * hash) + DEADLINE_MS_FIELD_NUMBER;
+    hash = (37 * hash) + TIMEOUT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getDeadlineMs());
+        getTimeoutMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -326,7 +326,7 @@
       bitField0_ = 0;
       method_ = "";
       request_ = com.google.protobuf.ByteString.EMPTY;
-      deadlineMs_ = 0L;
+      timeoutMs_ = 0L;
       return this;
     }
 
@@ -367,7 +367,7 @@
         result.request_ = request_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.deadlineMs_ = deadlineMs_;
+        result.timeoutMs_ = timeoutMs_;
       }
     }
 
@@ -391,8 +391,8 @@
       if (!other.getRequest().isEmpty()) {
         setRequest(other.getRequest());
       }
-      if (other.getDeadlineMs() != 0L) {
-        setDeadlineMs(other.getDeadlineMs());
+      if (other.getTimeoutMs() != 0L) {
+        setTimeoutMs(other.getTimeoutMs());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -431,7 +431,7 @@
               break;
             } // case 18
             case 24: {
-              deadlineMs_ = input.readInt64();
+              timeoutMs_ = input.readInt64();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
@@ -556,34 +556,34 @@
       return this;
     }
 
-    private long deadlineMs_ ;
+    private long timeoutMs_ ;
     /**
-     * <code>int64 deadline_ms = 3;</code>
-     * @return The deadlineMs.
+     * <code>int64 timeout_ms = 3;</code>
+     * @return The timeoutMs.
      */
     @java.lang.Override
-    public long getDeadlineMs() {
-      return deadlineMs_;
+    public long getTimeoutMs() {
+      return timeoutMs_;
     }
     /**
-     * <code>int64 deadline_ms = 3;</code>
-     * @param value The deadlineMs to set.
+     * <code>int64 timeout_ms = 3;</code>
+     * @param value The timeoutMs to set.
      * @return This builder for chaining.
      */
-    public Builder setDeadlineMs(long value) {
+    public Builder setTimeoutMs(long value) {
 
-      deadlineMs_ = value;
+      timeoutMs_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 deadline_ms = 3;</code>
+     * <code>int64 timeout_ms = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearDeadlineMs() {
+    public Builder clearTimeoutMs() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      deadlineMs_ = 0L;
+      timeoutMs_ = 0L;
       onChanged();
       return this;
     }
--- a/api/src/main/java/org/celerygw/api/gen/peer/OpenOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/OpenOrBuilder.java
@@ -29,8 +29,8 @@
   com.google.protobuf.ByteString getRequest();
 
   /**
-   * <code>int64 deadline_ms = 3;</code>
-   * @return The deadlineMs.
+   * <code>int64 timeout_ms = 3;</code>
+   * @return The timeoutMs.
    */
-  long getDeadlineMs();
+  long getTimeoutMs();
 }
--- a/api/src/main/java/org/celerygw/api/gen/peer/Peer.java
+++ b/api/src/main/java/org/celerygw/api/gen/peer/Peer.java
@@ -36,6 +36,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peer_Hello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peer_Proof_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peer_Proof_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peer_GoAway_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peer_GoAway_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peer_Open_descriptor;
   static final 
@@ -90,7 +100,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\rcelerygw.peer\"\321\002\n\005Frame\022\016\n" +
+      "\n\npeer.proto\022\rcelerygw.peer\"\242\003\n\005Frame\022\016\n" +
       "\006stream\030\001 \001(\004\022%\n\005hello\030\002 \001(\0132\024.celerygw." +
       "peer.HelloH\000\022#\n\004open\030\003 \001(\0132\023.celerygw.pe" +
       "er.OpenH\000\022%\n\005chunk\030\004 \001(\0132\024.celerygw.peer" +
@@ -98,28 +108,31 @@
       "dH\000\022\'\n\006cancel\030\006 \001(\0132\025.celerygw.peer.Canc" +
       "elH\000\022#\n\004ping\030\007 \001(\0132\023.celerygw.peer.PingH" +
       "\000\022#\n\004pong\030\010 \001(\0132\023.celerygw.peer.PongH\000\022\'" +
-      "\n\006credit\030\t \001(\0132\025.celerygw.peer.CreditH\000B" +
-      "\006\n\004body\"8\n\005Hello\022\020\n\010protocol\030\001 \001(\r\022\014\n\004ho" +
-      "st\030\002 \001(\t\022\017\n\007release\030\003 \001(\t\"<\n\004Open\022\016\n\006met" +
-      "hod\030\001 \001(\t\022\017\n\007request\030\002 \001(\014\022\023\n\013deadline_m" +
-      "s\030\003 \001(\003\"\025\n\005Chunk\022\014\n\004data\030\001 \001(\014\"d\n\003End\022\r\n" +
-      "\005reply\030\001 \001(\014\022\022\n\nerror_code\030\002 \001(\t\022\021\n\trun_" +
-      "state\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\003\022\017\n\007m" +
-      "essage\030\005 \001(\t\"\010\n\006Cancel\"\026\n\004Ping\022\016\n\006number" +
-      "\030\001 \001(\004\"\026\n\004Pong\022\016\n\006number\030\001 \001(\004\"\027\n\006Credit" +
-      "\022\r\n\005bytes\030\001 \001(\r\"\207\002\n\004Call\022\020\n\010customer\030\001 \001" +
-      "(\t\022\017\n\007program\030\002 \001(\t\022\016\n\006number\030\003 \001(\003\022\013\n\003k" +
-      "ey\030\004 \001(\t\022\014\n\004tool\030\005 \001(\010\022\016\n\006target\030\006 \001(\t\022\022" +
-      "\n\nrepeatable\030\007 \001(\010\022\023\n\013deadline_ms\030\010 \001(\003\022" +
-      "\023\n\013body_digest\030\t \001(\014\022\014\n\004path\030\n \001(\t\022\014\n\004bo" +
-      "dy\030\013 \001(\014\022\025\n\rprompt_tokens\030\014 \001(\005\022\031\n\021max_o" +
-      "utput_tokens\030\r \001(\005\022\025\n\rprefix_hashes\030\016 \003(" +
-      "\006\"\250\001\n\tCallReply\022\022\n\nerror_code\030\001 \001(\t\022\021\n\tr" +
-      "un_state\030\002 \001(\t\022\026\n\016retry_after_ms\030\003 \001(\003\022\017" +
-      "\n\007message\030\004 \001(\t\022\016\n\006status\030\005 \001(\005\022\024\n\014conte" +
-      "nt_type\030\006 \001(\t\022\016\n\006answer\030\007 \001(\014\022\025\n\routput_" +
-      "tokens\030\010 \001(\005B\035\n\031org.celerygw.api.gen.pee" +
-      "rP\001b\006proto3"
+      "\n\006credit\030\t \001(\0132\025.celerygw.peer.CreditH\000\022" +
+      "%\n\005proof\030\n \001(\0132\024.celerygw.peer.ProofH\000\022(" +
+      "\n\007go_away\030\013 \001(\0132\025.celerygw.peer.GoAwayH\000" +
+      "B\006\n\004body\"G\n\005Hello\022\020\n\010protocol\030\001 \001(\r\022\014\n\004h" +
+      "ost\030\002 \001(\t\022\017\n\007release\030\003 \001(\t\022\r\n\005nonce\030\004 \001(" +
+      "\014\"$\n\005Proof\022\016\n\006key_id\030\001 \001(\r\022\013\n\003tag\030\002 \001(\014\"" +
+      "\010\n\006GoAway\";\n\004Open\022\016\n\006method\030\001 \001(\t\022\017\n\007req" +
+      "uest\030\002 \001(\014\022\022\n\ntimeout_ms\030\003 \001(\003\"\025\n\005Chunk\022" +
+      "\014\n\004data\030\001 \001(\014\"d\n\003End\022\r\n\005reply\030\001 \001(\014\022\022\n\ne" +
+      "rror_code\030\002 \001(\t\022\021\n\trun_state\030\003 \001(\t\022\026\n\016re" +
+      "try_after_ms\030\004 \001(\003\022\017\n\007message\030\005 \001(\t\"\010\n\006C" +
+      "ancel\"\026\n\004Ping\022\016\n\006number\030\001 \001(\004\"\026\n\004Pong\022\016\n" +
+      "\006number\030\001 \001(\004\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\r\"\207" +
+      "\002\n\004Call\022\020\n\010customer\030\001 \001(\t\022\017\n\007program\030\002 \001" +
+      "(\t\022\016\n\006number\030\003 \001(\003\022\013\n\003key\030\004 \001(\t\022\014\n\004tool\030" +
+      "\005 \001(\010\022\016\n\006target\030\006 \001(\t\022\022\n\nrepeatable\030\007 \001(" +
+      "\010\022\023\n\013deadline_ms\030\010 \001(\003\022\023\n\013body_digest\030\t " +
+      "\001(\014\022\014\n\004path\030\n \001(\t\022\014\n\004body\030\013 \001(\014\022\025\n\rpromp" +
+      "t_tokens\030\014 \001(\005\022\031\n\021max_output_tokens\030\r \001(" +
+      "\005\022\025\n\rprefix_hashes\030\016 \003(\006\"\250\001\n\tCallReply\022\022" +
+      "\n\nerror_code\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\026\n" +
+      "\016retry_after_ms\030\003 \001(\003\022\017\n\007message\030\004 \001(\t\022\016" +
+      "\n\006status\030\005 \001(\005\022\024\n\014content_type\030\006 \001(\t\022\016\n\006" +
+      "answer\030\007 \001(\014\022\025\n\routput_tokens\030\010 \001(\005B\035\n\031o" +
+      "rg.celerygw.api.gen.peerP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -130,63 +143,75 @@
     internal_static_celerygw_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Frame_descriptor,
-        new java.lang.String[] { "Stream", "Hello", "Open", "Chunk", "End", "Cancel", "Ping", "Pong", "Credit", "Body", });
+        new java.lang.String[] { "Stream", "Hello", "Open", "Chunk", "End", "Cancel", "Ping", "Pong", "Credit", "Proof", "GoAway", "Body", });
     internal_static_celerygw_peer_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_celerygw_peer_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Hello_descriptor,
-        new java.lang.String[] { "Protocol", "Host", "Release", });
-    internal_static_celerygw_peer_Open_descriptor =
+        new java.lang.String[] { "Protocol", "Host", "Release", "Nonce", });
+    internal_static_celerygw_peer_Proof_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_celerygw_peer_Proof_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peer_Proof_descriptor,
+        new java.lang.String[] { "KeyId", "Tag", });
+    internal_static_celerygw_peer_GoAway_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_celerygw_peer_GoAway_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peer_GoAway_descriptor,
+        new java.lang.String[] { });
+    internal_static_celerygw_peer_Open_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_celerygw_peer_Open_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Open_descriptor,
-        new java.lang.String[] { "Method", "Request", "DeadlineMs", });
+        new java.lang.String[] { "Method", "Request", "TimeoutMs", });
     internal_static_celerygw_peer_Chunk_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_celerygw_peer_Chunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Chunk_descriptor,
         new java.lang.String[] { "Data", });
     internal_static_celerygw_peer_End_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_celerygw_peer_End_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_End_descriptor,
         new java.lang.String[] { "Reply", "ErrorCode", "RunState", "RetryAfterMs", "Message", });
     internal_static_celerygw_peer_Cancel_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_celerygw_peer_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Cancel_descriptor,
         new java.lang.String[] { });
     internal_static_celerygw_peer_Ping_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_celerygw_peer_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Ping_descriptor,
         new java.lang.String[] { "Number", });
     internal_static_celerygw_peer_Pong_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_celerygw_peer_Pong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Pong_descriptor,
         new java.lang.String[] { "Number", });
     internal_static_celerygw_peer_Credit_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_celerygw_peer_Credit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Credit_descriptor,
         new java.lang.String[] { "Bytes", });
     internal_static_celerygw_peer_Call_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_celerygw_peer_Call_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_Call_descriptor,
         new java.lang.String[] { "Customer", "Program", "Number", "Key", "Tool", "Target", "Repeatable", "DeadlineMs", "BodyDigest", "Path", "Body", "PromptTokens", "MaxOutputTokens", "PrefixHashes", });
     internal_static_celerygw_peer_CallReply_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_celerygw_peer_CallReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peer_CallReply_descriptor,
--- /dev/null
+++ b/daemon/src/main/java/org/celerygw/daemon/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Calls between daemons over TCP: streams, cancellation, back pressure, heartbeats and authentication. */
+@NullMarked
+package org.celerygw.daemon.peer;
+
+import org.jspecify.annotations.NullMarked;
