--- /dev/null
+++ b/standin/src/test/java/org/celerygw/standin/fleet/ModelFleetTest.java
@@ -0,0 +1,135 @@
+package org.celerygw.standin.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.celerygw.core.id.BackendServerId;
+import org.celerygw.core.membership.Change;
+import org.testng.annotations.Test;
+
+/** Membership of many daemons in model time. */
+public final class ModelFleetTest {
+    @Test
+    public void manyThatStartTogetherFindEachOther() {
+        ModelFleet fleet = new ModelFleet(1, 3);
+        fleet.startMany(100);
+        long tookMs = fleet.runUntil(fleet::converged, 60_000);
+        System.out.println("JOIN100 " + tookMs);
+        assertTrue(tookMs >= 0);
+    }
+
+    @Test
+    public void aKilledDaemonIsHeldDeadByAll() {
+        ModelFleet fleet = settled(2, 100);
+        ModelNode victim = fleet.nodes().get(17);
+        fleet.kill(victim);
+        long tookMs = fleet.runUntil(fleet::converged, 60_000);
+        System.out.println("DEATH100 " + tookMs);
+        assertTrue(tookMs >= 0 && tookMs <= 20_000);
+        assertEquals(falseDeaths(fleet), List.of());
+    }
+
+    @Test
+    public void aLeavingDaemonIsGoneAtOnce() {
+        ModelFleet fleet = settled(3, 100);
+        fleet.leave(fleet.nodes().get(5));
+        long tookMs = fleet.runUntil(fleet::converged, 60_000);
+        System.out.println("LEAVE100 " + tookMs);
+        assertTrue(tookMs >= 0 && tookMs <= 5000);
+    }
+
+    @Test
+    public void aRestartUnderTheSameAddressReplacesTheOldIncarnation() {
+        ModelFleet fleet = settled(4, 100);
+        fleet.restart(fleet.nodes().get(5));
+        long tookMs = fleet.runUntil(fleet::converged, 60_000);
+        System.out.println("RESTART100 " + tookMs);
+        assertTrue(tookMs >= 0);
+    }
+
+    @Test
+    public void aDaemonPausedForThirtySecondsComesBackAndHoldsNobodyDead() {
+        ModelFleet fleet = settled(5, 100);
+        ModelNode paused = fleet.nodes().get(40);
+        fleet.freeze(paused, 30_000);
+        fleet.runForMs(31_000);
+        long tookMs = fleet.runUntil(fleet::converged, 60_000);
+        System.out.println("PAUSE100 " + tookMs);
+        assertTrue(tookMs >= 0);
+        assertTrue(fleet.changes().stream()
+                .noneMatch(o -> o.by() == paused && o.change().kind() == Change.Kind.DEAD));
+    }
+
+    @Test
+    public void zonesThatLostEachOtherFindEachOtherAgain() {
+        ModelFleet fleet = settled(6, 60);
+        fleet.cut((a, b) -> (a.zone() == 0) != (b.zone() == 0));
+        fleet.runForMs(120_000);
+        assertEquals(fleet.nodes().get(0).membership().members().size(), 20);
+        fleet.cut((a, b) -> false);
+        long tookMs = fleet.runUntil(fleet::converged, 120_000);
+        System.out.println("HEAL60 " + tookMs);
+        assertTrue(tookMs >= 0);
+    }
+
+    @Test
+    public void aDaemonThatHearsNobodyIsRemovedWithoutHarmToOthers() {
+        ModelFleet fleet = settled(7, 60);
+        ModelNode deaf = fleet.nodes().get(9);
+        fleet.cut((a, b) -> b == deaf);
+        fleet.runForMs(60_000);
+        assertTrue(fleet.changes().stream()
+                .noneMatch(o -> o.by() != deaf
+                        && o.change().kind() == Change.Kind.DEAD
+                        && !o.change().member().host().equals(deaf.host())));
+        fleet.cut((a, b) -> false);
+        assertTrue(fleet.runUntil(fleet::converged, 120_000) >= 0);
+    }
+
+    @Test
+    public void aLeavingMarkReachesAllAndOlderNewsDoesNotUndoIt() {
+        ModelFleet fleet = settled(8, 100);
+        BackendServerId engine = new BackendServerId("engine-1");
+        fleet.nodes().get(0).membership().markLeaving(engine, 5);
+        fleet.nodes().get(1).membership().markStaying(engine, 4);
+        fleet.nodes().get(2).membership().markStaying(engine, 5);
+        long tookMs = fleet.runUntil(
+                () -> fleet.running().allMatch(n -> n.membership().isLeaving(engine)), 20_000);
+        System.out.println("MARK100 " + tookMs);
+        assertTrue(tookMs >= 0 && tookMs <= 5000);
+        fleet.runForMs(30_000);
+        assertTrue(fleet.running().allMatch(n -> n.membership().isLeaving(engine)));
+    }
+
+    @Test
+    public void aConfigurationVersionReachesAllAndControlStaysCheap() {
+        ModelFleet fleet = settled(9, 200);
+        fleet.nodes().get(0).membership().announceConfig(7);
+        long tookMs = fleet.runUntil(
+                () -> fleet.running().allMatch(n -> n.membership().configVersion() == 7), 20_000);
+        System.out.println("CONFIG200 " + tookMs);
+        assertTrue(tookMs >= 0 && tookMs <= 2000);
+        long before = fleet.running().mapToLong(ModelNode::bytes).sum();
+        fleet.runForMs(60_000);
+        long perSecond = (fleet.running().mapToLong(ModelNode::bytes).sum() - before) / 200 / 60;
+        System.out.println("BYTES200 " + perSecond);
+        assertTrue(perSecond <= 3000, "bytes a second: " + perSecond);
+    }
+
+    private static ModelFleet settled(long seed, int count) {
+        ModelFleet fleet = new ModelFleet(seed, 3);
+        fleet.startMany(count);
+        assertTrue(fleet.runUntil(fleet::converged, 60_000) >= 0, "did not converge");
+        fleet.runForMs(20_000);
+        return fleet;
+    }
+
+    private static List<ModelFleet.Observed> falseDeaths(ModelFleet fleet) {
+        List<String> running = fleet.running().map(n -> n.host().value()).toList();
+        return fleet.changes().stream()
+                .filter(o -> o.change().kind() == Change.Kind.DEAD)
+                .filter(o -> running.contains(o.change().member().host().value()))
+                .toList();
+    }
+}
