--- a/api/src/main/java/org/celerygw/api/gen/operator/Action.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/Action.java
@@ -6,6 +6,10 @@
 package org.celerygw.api.gen.operator;
 
 /**
+ * <pre>
+ * Each change is recorded twice: before it begins with the result "asked", and after it with "done" or an error code.
+ * </pre>
+ *
  * Protobuf type {@code celerygw.operator.Action}
  */
 @com.google.protobuf.Generated
@@ -31,6 +35,8 @@
     actor_ = "";
     action_ = "";
     detail_ = "";
+    result_ = "";
+    id_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -105,6 +111,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object action_ = "";
   /**
+   * <pre>
+   * the method's name
+   * </pre>
+   *
    * <code>string action = 3;</code>
    * @return The action.
    */
@@ -122,6 +132,10 @@
     }
   }
   /**
+   * <pre>
+   * the method's name
+   * </pre>
+   *
    * <code>string action = 3;</code>
    * @return The bytes for action.
    */
@@ -144,6 +158,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object detail_ = "";
   /**
+   * <pre>
+   * what was asked for
+   * </pre>
+   *
    * <code>string detail = 4;</code>
    * @return The detail.
    */
@@ -161,6 +179,10 @@
     }
   }
   /**
+   * <pre>
+   * what was asked for
+   * </pre>
+   *
    * <code>string detail = 4;</code>
    * @return The bytes for detail.
    */
@@ -182,6 +204,10 @@
   public static final int CONFIG_VERSION_FIELD_NUMBER = 5;
   private long configVersion_ = 0L;
   /**
+   * <pre>
+   * the configuration in force when it was asked for
+   * </pre>
+   *
    * <code>int64 config_version = 5;</code>
    * @return The configVersion.
    */
@@ -190,6 +216,92 @@
     return configVersion_;
   }
 
+  public static final int RESULT_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object result_ = "";
+  /**
+   * <code>string result = 6;</code>
+   * @return The result.
+   */
+  @java.lang.Override
+  public java.lang.String getResult() {
+    java.lang.Object ref = result_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      result_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string result = 6;</code>
+   * @return The bytes for result.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getResultBytes() {
+    java.lang.Object ref = result_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      result_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ID_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object id_ = "";
+  /**
+   * <pre>
+   * the same in both records of one change
+   * </pre>
+   *
+   * <code>string id = 7;</code>
+   * @return The id.
+   */
+  @java.lang.Override
+  public java.lang.String getId() {
+    java.lang.Object ref = id_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      id_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * the same in both records of one change
+   * </pre>
+   *
+   * <code>string id = 7;</code>
+   * @return The bytes for id.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIdBytes() {
+    java.lang.Object ref = id_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      id_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -219,6 +331,12 @@
     if (configVersion_ != 0L) {
       output.writeInt64(5, configVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(result_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, result_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, id_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -245,6 +363,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, configVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(result_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, result_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, id_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -270,6 +394,10 @@
         .equals(other.getDetail())) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (!getResult()
+        .equals(other.getResult())) return false;
+    if (!getId()
+        .equals(other.getId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -293,6 +421,10 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + RESULT_FIELD_NUMBER;
+    hash = (53 * hash) + getResult().hashCode();
+    hash = (37 * hash) + ID_FIELD_NUMBER;
+    hash = (53 * hash) + getId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -391,6 +523,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Each change is recorded twice: before it begins with the result "asked", and after it with "done" or an error code.
+   * </pre>
+   *
    * Protobuf type {@code celerygw.operator.Action}
    */
   public static final class Builder extends
@@ -429,6 +565,8 @@
       action_ = "";
       detail_ = "";
       configVersion_ = 0L;
+      result_ = "";
+      id_ = "";
       return this;
     }
 
@@ -477,6 +615,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.result_ = result_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.id_ = id_;
+      }
     }
 
     @java.lang.Override
@@ -512,6 +656,16 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (!other.getResult().isEmpty()) {
+        result_ = other.result_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (!other.getId().isEmpty()) {
+        id_ = other.id_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -563,6 +717,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              result_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              id_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -686,6 +850,10 @@
 
     private java.lang.Object action_ = "";
     /**
+     * <pre>
+     * the method's name
+     * </pre>
+     *
      * <code>string action = 3;</code>
      * @return The action.
      */
@@ -702,6 +870,10 @@
       }
     }
     /**
+     * <pre>
+     * the method's name
+     * </pre>
+     *
      * <code>string action = 3;</code>
      * @return The bytes for action.
      */
@@ -719,6 +891,10 @@
       }
     }
     /**
+     * <pre>
+     * the method's name
+     * </pre>
+     *
      * <code>string action = 3;</code>
      * @param value The action to set.
      * @return This builder for chaining.
@@ -732,6 +908,10 @@
       return this;
     }
     /**
+     * <pre>
+     * the method's name
+     * </pre>
+     *
      * <code>string action = 3;</code>
      * @return This builder for chaining.
      */
@@ -742,6 +922,10 @@
       return this;
     }
     /**
+     * <pre>
+     * the method's name
+     * </pre>
+     *
      * <code>string action = 3;</code>
      * @param value The bytes for action to set.
      * @return This builder for chaining.
@@ -758,6 +942,10 @@
 
     private java.lang.Object detail_ = "";
     /**
+     * <pre>
+     * what was asked for
+     * </pre>
+     *
      * <code>string detail = 4;</code>
      * @return The detail.
      */
@@ -774,6 +962,10 @@
       }
     }
     /**
+     * <pre>
+     * what was asked for
+     * </pre>
+     *
      * <code>string detail = 4;</code>
      * @return The bytes for detail.
      */
@@ -791,6 +983,10 @@
       }
     }
     /**
+     * <pre>
+     * what was asked for
+     * </pre>
+     *
      * <code>string detail = 4;</code>
      * @param value The detail to set.
      * @return This builder for chaining.
@@ -804,6 +1000,10 @@
       return this;
     }
     /**
+     * <pre>
+     * what was asked for
+     * </pre>
+     *
      * <code>string detail = 4;</code>
      * @return This builder for chaining.
      */
@@ -814,6 +1014,10 @@
       return this;
     }
     /**
+     * <pre>
+     * what was asked for
+     * </pre>
+     *
      * <code>string detail = 4;</code>
      * @param value The bytes for detail to set.
      * @return This builder for chaining.
@@ -830,6 +1034,10 @@
 
     private long configVersion_ ;
     /**
+     * <pre>
+     * the configuration in force when it was asked for
+     * </pre>
+     *
      * <code>int64 config_version = 5;</code>
      * @return The configVersion.
      */
@@ -838,6 +1046,10 @@
       return configVersion_;
     }
     /**
+     * <pre>
+     * the configuration in force when it was asked for
+     * </pre>
+     *
      * <code>int64 config_version = 5;</code>
      * @param value The configVersion to set.
      * @return This builder for chaining.
@@ -850,6 +1062,10 @@
       return this;
     }
     /**
+     * <pre>
+     * the configuration in force when it was asked for
+     * </pre>
+     *
      * <code>int64 config_version = 5;</code>
      * @return This builder for chaining.
      */
@@ -860,6 +1076,170 @@
       return this;
     }
 
+    private java.lang.Object result_ = "";
+    /**
+     * <code>string result = 6;</code>
+     * @return The result.
+     */
+    public java.lang.String getResult() {
+      java.lang.Object ref = result_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        result_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string result = 6;</code>
+     * @return The bytes for result.
+     */
+    public com.google.protobuf.ByteString
+        getResultBytes() {
+      java.lang.Object ref = result_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        result_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string result = 6;</code>
+     * @param value The result to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResult(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      result_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string result = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearResult() {
+      result_ = getDefaultInstance().getResult();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string result = 6;</code>
+     * @param value The bytes for result to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResultBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      result_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object id_ = "";
+    /**
+     * <pre>
+     * the same in both records of one change
+     * </pre>
+     *
+     * <code>string id = 7;</code>
+     * @return The id.
+     */
+    public java.lang.String getId() {
+      java.lang.Object ref = id_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        id_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the same in both records of one change
+     * </pre>
+     *
+     * <code>string id = 7;</code>
+     * @return The bytes for id.
+     */
+    public com.google.protobuf.ByteString
+        getIdBytes() {
+      java.lang.Object ref = id_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        id_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the same in both records of one change
+     * </pre>
+     *
+     * <code>string id = 7;</code>
+     * @param value The id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      id_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same in both records of one change
+     * </pre>
+     *
+     * <code>string id = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearId() {
+      id_ = getDefaultInstance().getId();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same in both records of one change
+     * </pre>
+     *
+     * <code>string id = 7;</code>
+     * @param value The bytes for id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      id_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.operator.Action)
   }
 
--- a/api/src/main/java/org/celerygw/api/gen/operator/ActionOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/ActionOrBuilder.java
@@ -29,11 +29,19 @@
       getActorBytes();
 
   /**
+   * <pre>
+   * the method's name
+   * </pre>
+   *
    * <code>string action = 3;</code>
    * @return The action.
    */
   java.lang.String getAction();
   /**
+   * <pre>
+   * the method's name
+   * </pre>
+   *
    * <code>string action = 3;</code>
    * @return The bytes for action.
    */
@@ -41,11 +49,19 @@
       getActionBytes();
 
   /**
+   * <pre>
+   * what was asked for
+   * </pre>
+   *
    * <code>string detail = 4;</code>
    * @return The detail.
    */
   java.lang.String getDetail();
   /**
+   * <pre>
+   * what was asked for
+   * </pre>
+   *
    * <code>string detail = 4;</code>
    * @return The bytes for detail.
    */
@@ -53,8 +69,44 @@
       getDetailBytes();
 
   /**
+   * <pre>
+   * the configuration in force when it was asked for
+   * </pre>
+   *
    * <code>int64 config_version = 5;</code>
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <code>string result = 6;</code>
+   * @return The result.
+   */
+  java.lang.String getResult();
+  /**
+   * <code>string result = 6;</code>
+   * @return The bytes for result.
+   */
+  com.google.protobuf.ByteString
+      getResultBytes();
+
+  /**
+   * <pre>
+   * the same in both records of one change
+   * </pre>
+   *
+   * <code>string id = 7;</code>
+   * @return The id.
+   */
+  java.lang.String getId();
+  /**
+   * <pre>
+   * the same in both records of one change
+   * </pre>
+   *
+   * <code>string id = 7;</code>
+   * @return The bytes for id.
+   */
+  com.google.protobuf.ByteString
+      getIdBytes();
 }
--- a/api/src/main/java/org/celerygw/api/gen/operator/OperatorOuterClass.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/OperatorOuterClass.java
@@ -246,48 +246,49 @@
       "dels\030\007 \001(\t\"E\n\021ListBackendsReply\0220\n\010backe" +
       "nds\030\001 \003(\0132\036.celerygw.operator.BackendInf" +
       "o\"!\n\023DrainBackendRequest\022\n\n\002id\030\001 \001(\t\"#\n\022" +
-      "ListActionsRequest\022\r\n\005limit\030\001 \001(\005\"^\n\006Act" +
+      "ListActionsRequest\022\r\n\005limit\030\001 \001(\005\"z\n\006Act" +
       "ion\022\r\n\005at_ms\030\001 \001(\003\022\r\n\005actor\030\002 \001(\t\022\016\n\006act" +
       "ion\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\026\n\016config_vers" +
-      "ion\030\005 \001(\003\">\n\020ListActionsReply\022*\n\007actions" +
-      "\030\001 \003(\0132\031.celerygw.operator.Action\"\016\n\014Wat" +
-      "chRequest\")\n\nWatchEvent\022\r\n\005at_ms\030\001 \001(\003\022\014" +
-      "\n\004line\030\002 \001(\t2\314\n\n\010Operator\022Y\n\rCreateProgr" +
-      "am\022\'.celerygw.operator.CreateProgramRequ" +
-      "est\032\037.celerygw.operator.ProgramReply\022S\n\n" +
-      "EndProgram\022$.celerygw.operator.EndProgra" +
-      "mRequest\032\037.celerygw.operator.ProgramRepl" +
-      "y\022\\\n\014ListPrograms\022&.celerygw.operator.Li" +
-      "stProgramsRequest\032$.celerygw.operator.Li" +
-      "stProgramsReply\022b\n\016ExplainProgram\022(.cele" +
-      "rygw.operator.ExplainProgramRequest\032&.ce" +
-      "lerygw.operator.ExplainProgramReply\022S\n\nS" +
-      "ettleCall\022$.celerygw.operator.SettleCall" +
+      "ion\030\005 \001(\003\022\016\n\006result\030\006 \001(\t\022\n\n\002id\030\007 \001(\t\">\n" +
+      "\020ListActionsReply\022*\n\007actions\030\001 \003(\0132\031.cel" +
+      "erygw.operator.Action\"\036\n\014WatchRequest\022\016\n" +
+      "\006prefix\030\001 \001(\t\")\n\nWatchEvent\022\r\n\005at_ms\030\001 \001" +
+      "(\003\022\014\n\004line\030\002 \001(\t2\314\n\n\010Operator\022Y\n\rCreateP" +
+      "rogram\022\'.celerygw.operator.CreateProgram" +
       "Request\032\037.celerygw.operator.ProgramReply" +
-      "\022P\n\tGetConfig\022#.celerygw.operator.GetCon" +
-      "figRequest\032\036.celerygw.operator.ConfigRep" +
-      "ly\022\\\n\014AcceptConfig\022&.celerygw.operator.A" +
-      "cceptConfigRequest\032$.celerygw.operator.A" +
-      "cceptConfigReply\022_\n\rConfigHistory\022\'.cele" +
-      "rygw.operator.ConfigHistoryRequest\032%.cel" +
-      "erygw.operator.ConfigHistoryReply\022\\\n\014Con" +
-      "figStatus\022&.celerygw.operator.ConfigStat" +
-      "usRequest\032$.celerygw.operator.ConfigStat" +
-      "usReply\022S\n\tListHosts\022#.celerygw.operator" +
-      ".ListHostsRequest\032!.celerygw.operator.Li" +
-      "stHostsReply\022S\n\tDrainHost\022#.celerygw.ope" +
-      "rator.DrainHostRequest\032!.celerygw.operat" +
-      "or.DrainHostReply\022\\\n\014ListBackends\022&.cele" +
-      "rygw.operator.ListBackendsRequest\032$.cele" +
-      "rygw.operator.ListBackendsReply\022\\\n\014Drain" +
-      "Backend\022&.celerygw.operator.DrainBackend" +
-      "Request\032$.celerygw.operator.AcceptConfig" +
-      "Reply\022Y\n\013ListActions\022%.celerygw.operator" +
-      ".ListActionsRequest\032#.celerygw.operator." +
-      "ListActionsReply\022I\n\005Watch\022\037.celerygw.ope" +
-      "rator.WatchRequest\032\035.celerygw.operator.W" +
-      "atchEvent0\001B!\n\035org.celerygw.api.gen.oper" +
-      "atorP\001b\006proto3"
+      "\022S\n\nEndProgram\022$.celerygw.operator.EndPr" +
+      "ogramRequest\032\037.celerygw.operator.Program" +
+      "Reply\022\\\n\014ListPrograms\022&.celerygw.operato" +
+      "r.ListProgramsRequest\032$.celerygw.operato" +
+      "r.ListProgramsReply\022b\n\016ExplainProgram\022(." +
+      "celerygw.operator.ExplainProgramRequest\032" +
+      "&.celerygw.operator.ExplainProgramReply\022" +
+      "S\n\nSettleCall\022$.celerygw.operator.Settle" +
+      "CallRequest\032\037.celerygw.operator.ProgramR" +
+      "eply\022P\n\tGetConfig\022#.celerygw.operator.Ge" +
+      "tConfigRequest\032\036.celerygw.operator.Confi" +
+      "gReply\022\\\n\014AcceptConfig\022&.celerygw.operat" +
+      "or.AcceptConfigRequest\032$.celerygw.operat" +
+      "or.AcceptConfigReply\022_\n\rConfigHistory\022\'." +
+      "celerygw.operator.ConfigHistoryRequest\032%" +
+      ".celerygw.operator.ConfigHistoryReply\022\\\n" +
+      "\014ConfigStatus\022&.celerygw.operator.Config" +
+      "StatusRequest\032$.celerygw.operator.Config" +
+      "StatusReply\022S\n\tListHosts\022#.celerygw.oper" +
+      "ator.ListHostsRequest\032!.celerygw.operato" +
+      "r.ListHostsReply\022S\n\tDrainHost\022#.celerygw" +
+      ".operator.DrainHostRequest\032!.celerygw.op" +
+      "erator.DrainHostReply\022\\\n\014ListBackends\022&." +
+      "celerygw.operator.ListBackendsRequest\032$." +
+      "celerygw.operator.ListBackendsReply\022\\\n\014D" +
+      "rainBackend\022&.celerygw.operator.DrainBac" +
+      "kendRequest\032$.celerygw.operator.AcceptCo" +
+      "nfigReply\022Y\n\013ListActions\022%.celerygw.oper" +
+      "ator.ListActionsRequest\032#.celerygw.opera" +
+      "tor.ListActionsReply\022I\n\005Watch\022\037.celerygw" +
+      ".operator.WatchRequest\032\035.celerygw.operat" +
+      "or.WatchEvent0\001B!\n\035org.celerygw.api.gen." +
+      "operatorP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -467,7 +468,7 @@
     internal_static_celerygw_operator_Action_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_operator_Action_descriptor,
-        new java.lang.String[] { "AtMs", "Actor", "Action", "Detail", "ConfigVersion", });
+        new java.lang.String[] { "AtMs", "Actor", "Action", "Detail", "ConfigVersion", "Result", "Id", });
     internal_static_celerygw_operator_ListActionsReply_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_celerygw_operator_ListActionsReply_fieldAccessorTable = new
@@ -479,7 +480,7 @@
     internal_static_celerygw_operator_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_operator_WatchRequest_descriptor,
-        new java.lang.String[] { });
+        new java.lang.String[] { "Prefix", });
     internal_static_celerygw_operator_WatchEvent_descriptor =
       getDescriptor().getMessageType(31);
     internal_static_celerygw_operator_WatchEvent_fieldAccessorTable = new
--- a/api/src/main/java/org/celerygw/api/gen/operator/WatchRequest.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/WatchRequest.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private WatchRequest() {
+    prefix_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -48,6 +49,45 @@
             org.celerygw.api.gen.operator.WatchRequest.class, org.celerygw.api.gen.operator.WatchRequest.Builder.class);
   }
 
+  public static final int PREFIX_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object prefix_ = "";
+  /**
+   * <code>string prefix = 1;</code>
+   * @return The prefix.
+   */
+  @java.lang.Override
+  public java.lang.String getPrefix() {
+    java.lang.Object ref = prefix_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      prefix_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string prefix = 1;</code>
+   * @return The bytes for prefix.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPrefixBytes() {
+    java.lang.Object ref = prefix_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      prefix_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -62,6 +102,9 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(prefix_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, prefix_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -71,6 +114,9 @@
     if (size != -1) return size;
 
     size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(prefix_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, prefix_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -86,6 +132,8 @@
     }
     org.celerygw.api.gen.operator.WatchRequest other = (org.celerygw.api.gen.operator.WatchRequest) obj;
 
+    if (!getPrefix()
+        .equals(other.getPrefix())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -97,6 +145,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + PREFIX_FIELD_NUMBER;
+    hash = (53 * hash) + getPrefix().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -227,6 +277,8 @@
     @java.lang.Override
     public Builder clear() {
       super.clear();
+      bitField0_ = 0;
+      prefix_ = "";
       return this;
     }
 
@@ -253,10 +305,18 @@
     @java.lang.Override
     public org.celerygw.api.gen.operator.WatchRequest buildPartial() {
       org.celerygw.api.gen.operator.WatchRequest result = new org.celerygw.api.gen.operator.WatchRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartial0(org.celerygw.api.gen.operator.WatchRequest result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.prefix_ = prefix_;
+      }
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.celerygw.api.gen.operator.WatchRequest) {
@@ -269,6 +329,11 @@
 
     public Builder mergeFrom(org.celerygw.api.gen.operator.WatchRequest other) {
       if (other == org.celerygw.api.gen.operator.WatchRequest.getDefaultInstance()) return this;
+      if (!other.getPrefix().isEmpty()) {
+        prefix_ = other.prefix_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -295,6 +360,11 @@
             case 0:
               done = true;
               break;
+            case 10: {
+              prefix_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -310,6 +380,79 @@
       } // finally
       return this;
     }
+    private int bitField0_;
+
+    private java.lang.Object prefix_ = "";
+    /**
+     * <code>string prefix = 1;</code>
+     * @return The prefix.
+     */
+    public java.lang.String getPrefix() {
+      java.lang.Object ref = prefix_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        prefix_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string prefix = 1;</code>
+     * @return The bytes for prefix.
+     */
+    public com.google.protobuf.ByteString
+        getPrefixBytes() {
+      java.lang.Object ref = prefix_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        prefix_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string prefix = 1;</code>
+     * @param value The prefix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPrefix(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      prefix_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string prefix = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPrefix() {
+      prefix_ = getDefaultInstance().getPrefix();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string prefix = 1;</code>
+     * @param value The bytes for prefix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPrefixBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      prefix_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
 
     // @@protoc_insertion_point(builder_scope:celerygw.operator.WatchRequest)
   }
--- a/api/src/main/java/org/celerygw/api/gen/operator/WatchRequestOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/WatchRequestOrBuilder.java
@@ -9,4 +9,16 @@
 public interface WatchRequestOrBuilder extends
     // @@protoc_insertion_point(interface_extends:celerygw.operator.WatchRequest)
     com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string prefix = 1;</code>
+   * @return The prefix.
+   */
+  java.lang.String getPrefix();
+  /**
+   * <code>string prefix = 1;</code>
+   * @return The bytes for prefix.
+   */
+  com.google.protobuf.ByteString
+      getPrefixBytes();
 }
--- /dev/null
+++ b/daemon/src/test/java/org/celerygw/daemon/health/HealthTest.java
@@ -0,0 +1,34 @@
+package org.celerygw.daemon.health;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+public class HealthTest {
+    private long nowMs = 1_000;
+    private final Health health = new Health(() -> nowMs);
+
+    @Test
+    public void hostIsReadyOnlyWhileEveryConditionHolds() {
+        assertEquals(health.ready().httpStatus(), 503);
+        for (Health.Condition condition : Health.Condition.values()) {
+            health.holds(condition);
+        }
+        assertTrue(health.ready().ok());
+        health.fails(Health.Condition.NOT_STOPPING, "a planned stop has begun");
+        assertEquals(
+                health.ready().body().encode(),
+                "{\"ready\":false,\"reasons\":{\"NOT_STOPPING\":\"a planned stop has begun\"}}");
+    }
+
+    @Test
+    public void hostWhoseLoopStandsStillIsNotAlive() {
+        health.beat();
+        nowMs += Health.STALL_LIMIT_MS - 1;
+        assertTrue(health.alive().ok());
+        nowMs += 1;
+        assertFalse(health.alive().ok());
+    }
+}
