--- a/api/src/main/java/org/celerygw/api/gen/operator/HostInfo.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/HostInfo.java
@@ -281,6 +281,17 @@
     }
   }
 
+  public static final int CONFIG_CONFIRMED_FIELD_NUMBER = 9;
+  private boolean configConfirmed_ = false;
+  /**
+   * <code>bool config_confirmed = 9;</code>
+   * @return The configConfirmed.
+   */
+  @java.lang.Override
+  public boolean getConfigConfirmed() {
+    return configConfirmed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -319,6 +330,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(release_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, release_);
     }
+    if (configConfirmed_ != false) {
+      output.writeBool(9, configConfirmed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -355,6 +369,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(release_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(8, release_);
     }
+    if (configConfirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, configConfirmed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -386,6 +404,8 @@
         != other.getConfigSinceMs()) return false;
     if (!getRelease()
         .equals(other.getRelease())) return false;
+    if (getConfigConfirmed()
+        != other.getConfigConfirmed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -415,6 +435,9 @@
         getConfigSinceMs());
     hash = (37 * hash) + RELEASE_FIELD_NUMBER;
     hash = (53 * hash) + getRelease().hashCode();
+    hash = (37 * hash) + CONFIG_CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfigConfirmed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -554,6 +577,7 @@
       configVersion_ = 0L;
       configSinceMs_ = 0L;
       release_ = "";
+      configConfirmed_ = false;
       return this;
     }
 
@@ -611,6 +635,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.release_ = release_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.configConfirmed_ = configConfirmed_;
+      }
     }
 
     @java.lang.Override
@@ -659,6 +686,9 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
+      if (other.getConfigConfirmed() != false) {
+        setConfigConfirmed(other.getConfigConfirmed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -725,6 +755,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 72: {
+              configConfirmed_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1198,6 +1233,38 @@
       return this;
     }
 
+    private boolean configConfirmed_ ;
+    /**
+     * <code>bool config_confirmed = 9;</code>
+     * @return The configConfirmed.
+     */
+    @java.lang.Override
+    public boolean getConfigConfirmed() {
+      return configConfirmed_;
+    }
+    /**
+     * <code>bool config_confirmed = 9;</code>
+     * @param value The configConfirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigConfirmed(boolean value) {
+
+      configConfirmed_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool config_confirmed = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      configConfirmed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.operator.HostInfo)
   }
 
--- a/api/src/main/java/org/celerygw/api/gen/operator/HostInfoOrBuilder.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/HostInfoOrBuilder.java
@@ -87,4 +87,10 @@
    */
   com.google.protobuf.ByteString
       getReleaseBytes();
+
+  /**
+   * <code>bool config_confirmed = 9;</code>
+   * @return The configConfirmed.
+   */
+  boolean getConfigConfirmed();
 }
--- a/api/src/main/java/org/celerygw/api/gen/operator/OperatorOuterClass.java
+++ b/api/src/main/java/org/celerygw/api/gen/operator/OperatorOuterClass.java
@@ -232,63 +232,64 @@
       "\n\007version\030\002 \001(\003\022\020\n\010since_ms\030\003 \001(\003\022\021\n\tcon" +
       "firmed\030\004 \001(\010\"A\n\021ConfigStatusReply\022,\n\005hos" +
       "ts\030\001 \003(\0132\035.celerygw.operator.HostConfig\"" +
-      "\022\n\020ListHostsRequest\"\227\001\n\010HostInfo\022\014\n\004host" +
+      "\022\n\020ListHostsRequest\"\261\001\n\010HostInfo\022\014\n\004host" +
       "\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\r\n" +
       "\005state\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016config_ve" +
       "rsion\030\006 \001(\003\022\027\n\017config_since_ms\030\007 \001(\003\022\017\n\007" +
-      "release\030\010 \001(\t\"<\n\016ListHostsReply\022*\n\005hosts" +
-      "\030\001 \003(\0132\033.celerygw.operator.HostInfo\" \n\020D" +
-      "rainHostRequest\022\014\n\004host\030\001 \001(\t\"!\n\016DrainHo" +
-      "stReply\022\017\n\007started\030\001 \001(\010\"\025\n\023ListBackends" +
-      "Request\"y\n\013BackendInfo\022\n\n\002id\030\001 \001(\t\022\017\n\007ad" +
-      "dress\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\r\n\005state\030\004 \001(\t" +
-      "\022\021\n\tin_flight\030\005 \001(\005\022\r\n\005speed\030\006 \001(\001\022\016\n\006mo" +
-      "dels\030\007 \001(\t\"E\n\021ListBackendsReply\0220\n\010backe" +
-      "nds\030\001 \003(\0132\036.celerygw.operator.BackendInf" +
-      "o\"!\n\023DrainBackendRequest\022\n\n\002id\030\001 \001(\t\"#\n\022" +
-      "ListActionsRequest\022\r\n\005limit\030\001 \001(\005\"z\n\006Act" +
-      "ion\022\r\n\005at_ms\030\001 \001(\003\022\r\n\005actor\030\002 \001(\t\022\016\n\006act" +
-      "ion\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\026\n\016config_vers" +
-      "ion\030\005 \001(\003\022\016\n\006result\030\006 \001(\t\022\n\n\002id\030\007 \001(\t\">\n" +
-      "\020ListActionsReply\022*\n\007actions\030\001 \003(\0132\031.cel" +
-      "erygw.operator.Action\"\036\n\014WatchRequest\022\016\n" +
-      "\006prefix\030\001 \001(\t\")\n\nWatchEvent\022\r\n\005at_ms\030\001 \001" +
-      "(\003\022\014\n\004line\030\002 \001(\t2\314\n\n\010Operator\022Y\n\rCreateP" +
-      "rogram\022\'.celerygw.operator.CreateProgram" +
-      "Request\032\037.celerygw.operator.ProgramReply" +
-      "\022S\n\nEndProgram\022$.celerygw.operator.EndPr" +
-      "ogramRequest\032\037.celerygw.operator.Program" +
-      "Reply\022\\\n\014ListPrograms\022&.celerygw.operato" +
-      "r.ListProgramsRequest\032$.celerygw.operato" +
-      "r.ListProgramsReply\022b\n\016ExplainProgram\022(." +
-      "celerygw.operator.ExplainProgramRequest\032" +
-      "&.celerygw.operator.ExplainProgramReply\022" +
-      "S\n\nSettleCall\022$.celerygw.operator.Settle" +
-      "CallRequest\032\037.celerygw.operator.ProgramR" +
-      "eply\022P\n\tGetConfig\022#.celerygw.operator.Ge" +
-      "tConfigRequest\032\036.celerygw.operator.Confi" +
-      "gReply\022\\\n\014AcceptConfig\022&.celerygw.operat" +
-      "or.AcceptConfigRequest\032$.celerygw.operat" +
-      "or.AcceptConfigReply\022_\n\rConfigHistory\022\'." +
-      "celerygw.operator.ConfigHistoryRequest\032%" +
-      ".celerygw.operator.ConfigHistoryReply\022\\\n" +
-      "\014ConfigStatus\022&.celerygw.operator.Config" +
-      "StatusRequest\032$.celerygw.operator.Config" +
-      "StatusReply\022S\n\tListHosts\022#.celerygw.oper" +
-      "ator.ListHostsRequest\032!.celerygw.operato" +
-      "r.ListHostsReply\022S\n\tDrainHost\022#.celerygw" +
-      ".operator.DrainHostRequest\032!.celerygw.op" +
-      "erator.DrainHostReply\022\\\n\014ListBackends\022&." +
-      "celerygw.operator.ListBackendsRequest\032$." +
-      "celerygw.operator.ListBackendsReply\022\\\n\014D" +
-      "rainBackend\022&.celerygw.operator.DrainBac" +
-      "kendRequest\032$.celerygw.operator.AcceptCo" +
-      "nfigReply\022Y\n\013ListActions\022%.celerygw.oper" +
-      "ator.ListActionsRequest\032#.celerygw.opera" +
-      "tor.ListActionsReply\022I\n\005Watch\022\037.celerygw" +
-      ".operator.WatchRequest\032\035.celerygw.operat" +
-      "or.WatchEvent0\001B!\n\035org.celerygw.api.gen." +
-      "operatorP\001b\006proto3"
+      "release\030\010 \001(\t\022\030\n\020config_confirmed\030\t \001(\010\"" +
+      "<\n\016ListHostsReply\022*\n\005hosts\030\001 \003(\0132\033.celer" +
+      "ygw.operator.HostInfo\" \n\020DrainHostReques" +
+      "t\022\014\n\004host\030\001 \001(\t\"!\n\016DrainHostReply\022\017\n\007sta" +
+      "rted\030\001 \001(\010\"\025\n\023ListBackendsRequest\"y\n\013Bac" +
+      "kendInfo\022\n\n\002id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n" +
+      "\004zone\030\003 \001(\t\022\r\n\005state\030\004 \001(\t\022\021\n\tin_flight\030" +
+      "\005 \001(\005\022\r\n\005speed\030\006 \001(\001\022\016\n\006models\030\007 \001(\t\"E\n\021" +
+      "ListBackendsReply\0220\n\010backends\030\001 \003(\0132\036.ce" +
+      "lerygw.operator.BackendInfo\"!\n\023DrainBack" +
+      "endRequest\022\n\n\002id\030\001 \001(\t\"#\n\022ListActionsReq" +
+      "uest\022\r\n\005limit\030\001 \001(\005\"z\n\006Action\022\r\n\005at_ms\030\001" +
+      " \001(\003\022\r\n\005actor\030\002 \001(\t\022\016\n\006action\030\003 \001(\t\022\016\n\006d" +
+      "etail\030\004 \001(\t\022\026\n\016config_version\030\005 \001(\003\022\016\n\006r" +
+      "esult\030\006 \001(\t\022\n\n\002id\030\007 \001(\t\">\n\020ListActionsRe" +
+      "ply\022*\n\007actions\030\001 \003(\0132\031.celerygw.operator" +
+      ".Action\"\036\n\014WatchRequest\022\016\n\006prefix\030\001 \001(\t\"" +
+      ")\n\nWatchEvent\022\r\n\005at_ms\030\001 \001(\003\022\014\n\004line\030\002 \001" +
+      "(\t2\314\n\n\010Operator\022Y\n\rCreateProgram\022\'.celer" +
+      "ygw.operator.CreateProgramRequest\032\037.cele" +
+      "rygw.operator.ProgramReply\022S\n\nEndProgram" +
+      "\022$.celerygw.operator.EndProgramRequest\032\037" +
+      ".celerygw.operator.ProgramReply\022\\\n\014ListP" +
+      "rograms\022&.celerygw.operator.ListPrograms" +
+      "Request\032$.celerygw.operator.ListPrograms" +
+      "Reply\022b\n\016ExplainProgram\022(.celerygw.opera" +
+      "tor.ExplainProgramRequest\032&.celerygw.ope" +
+      "rator.ExplainProgramReply\022S\n\nSettleCall\022" +
+      "$.celerygw.operator.SettleCallRequest\032\037." +
+      "celerygw.operator.ProgramReply\022P\n\tGetCon" +
+      "fig\022#.celerygw.operator.GetConfigRequest" +
+      "\032\036.celerygw.operator.ConfigReply\022\\\n\014Acce" +
+      "ptConfig\022&.celerygw.operator.AcceptConfi" +
+      "gRequest\032$.celerygw.operator.AcceptConfi" +
+      "gReply\022_\n\rConfigHistory\022\'.celerygw.opera" +
+      "tor.ConfigHistoryRequest\032%.celerygw.oper" +
+      "ator.ConfigHistoryReply\022\\\n\014ConfigStatus\022" +
+      "&.celerygw.operator.ConfigStatusRequest\032" +
+      "$.celerygw.operator.ConfigStatusReply\022S\n" +
+      "\tListHosts\022#.celerygw.operator.ListHosts" +
+      "Request\032!.celerygw.operator.ListHostsRep" +
+      "ly\022S\n\tDrainHost\022#.celerygw.operator.Drai" +
+      "nHostRequest\032!.celerygw.operator.DrainHo" +
+      "stReply\022\\\n\014ListBackends\022&.celerygw.opera" +
+      "tor.ListBackendsRequest\032$.celerygw.opera" +
+      "tor.ListBackendsReply\022\\\n\014DrainBackend\022&." +
+      "celerygw.operator.DrainBackendRequest\032$." +
+      "celerygw.operator.AcceptConfigReply\022Y\n\013L" +
+      "istActions\022%.celerygw.operator.ListActio" +
+      "nsRequest\032#.celerygw.operator.ListAction" +
+      "sReply\022I\n\005Watch\022\037.celerygw.operator.Watc" +
+      "hRequest\032\035.celerygw.operator.WatchEvent0" +
+      "\001B!\n\035org.celerygw.api.gen.operatorP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -414,7 +415,7 @@
     internal_static_celerygw_operator_HostInfo_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_operator_HostInfo_descriptor,
-        new java.lang.String[] { "Host", "Address", "Zone", "State", "Slots", "ConfigVersion", "ConfigSinceMs", "Release", });
+        new java.lang.String[] { "Host", "Address", "Zone", "State", "Slots", "ConfigVersion", "ConfigSinceMs", "Release", "ConfigConfirmed", });
     internal_static_celerygw_operator_ListHostsReply_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_celerygw_operator_ListHostsReply_fieldAccessorTable = new
--- a/core/src/main/java/org/celerygw/core/owner/Owner.java
+++ b/core/src/main/java/org/celerygw/core/owner/Owner.java
@@ -185,4 +185,24 @@
     public Optional<HostId> ownerOf(Slot slot) {
         return ownership.ownerOf(slot);
     }
+
+    /**
+     * Returns how many slots this host owns.
+     *
+     * @return the number
+     */
+    public int slotsOwned() {
+        return deposed ? 0 : active.size();
+    }
+
+    /**
+     * Returns whether a program in a slot of this host has not ended.
+     *
+     * @param program the program
+     * @return true when it goes on
+     */
+    public boolean isLive(ProgramId program) {
+        Program p = programs.find(program);
+        return p != null && p.endedAtMs() == 0;
+    }
 }
--- a/daemon/src/main/java/org/celerygw/daemon/Main.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Main.java
@@ -24,15 +24,7 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        int exitCode = run(args, System.out, System.err, Main::start);
-        if (exitCode != 0) {
-            System.exit(exitCode);
-        }
-    }
-
-    /** Starts the daemon and returns at once: 0 when it runs, else the exit code. */
-    private static int start(Settings settings) {
-        return settings.host().name().isEmpty() ? 2 : 0;
+        System.exit(run(args, System.out, System.err, settings -> new Process(settings).run()));
     }
 
     static int run(String[] args, PrintStream out, PrintStream err, ToIntFunction<Settings> start) {
--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -28,6 +29,8 @@
 import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.time.Clock;
+import org.celerygw.daemon.health.Health;
+import org.celerygw.daemon.metrics.Metrics;
 import org.celerygw.daemon.work.Responder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +43,7 @@
 
     private final Parts parts;
     private final AtomicInteger underWay = new AtomicInteger();
+    private final AtomicInteger connections = new AtomicInteger();
     private final HttpServer server;
 
     /**
@@ -48,19 +52,21 @@
      * @param clock the time
      * @param programs reaches the owners of programs
      * @param configuration the configuration in force
-     * @param ready whether new work is welcome
+     * @param health answers the health and ready endpoints
      * @param refusal why work is refused now, or null when it is not
-     * @param metrics the metrics page in the Prometheus text form
+     * @param metrics counts calls and gives the metrics page
      * @param maxBodyBytes the largest body taken
+     * @param maxConnections the most connections at once; further ones are closed
      */
     public record Parts(
             Clock clock,
             Programs programs,
             Supplier<Configuration> configuration,
-            Supplier<Boolean> ready,
+            Health health,
             Supplier<@org.jspecify.annotations.Nullable Outcome> refusal,
-            Supplier<String> metrics,
-            long maxBodyBytes) {}
+            Metrics metrics,
+            long maxBodyBytes,
+            int maxConnections) {}
 
     /**
      * Makes a server; {@link #listen} starts it.
@@ -71,7 +77,25 @@
      */
     public CallerServer(Vertx vertx, HttpServerOptions options, Parts parts) {
         this.parts = parts;
-        this.server = vertx.createHttpServer(options).requestHandler(routes(vertx));
+        this.server = vertx.createHttpServer(options)
+                .requestHandler(routes(vertx))
+                .connectionHandler(this::connected);
+    }
+
+    private void connected(HttpConnection connection) {
+        if (connections.incrementAndGet() > parts.maxConnections()) {
+            connection.close();
+        }
+        connection.closeHandler(v -> connections.decrementAndGet());
+    }
+
+    /**
+     * Returns the server, for the reload of its certificate.
+     *
+     * @return the server
+     */
+    public HttpServer server() {
+        return server;
     }
 
     /**
@@ -103,11 +127,11 @@
 
     private Router routes(Vertx vertx) {
         Router router = Router.router(vertx);
-        router.get("/health").handler(c -> c.response().end("ok\n"));
-        router.get("/ready").handler(this::ready);
+        router.get("/health").handler(c -> report(c, parts.health().alive()));
+        router.get("/ready").handler(c -> report(c, parts.health().ready()));
         router.get("/metrics").handler(c -> c.response()
-                .putHeader("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-                .end(parts.metrics().get()));
+                .putHeader("Content-Type", Metrics.CONTENT_TYPE)
+                .end(parts.metrics().text()));
         router.route("/v1/*").handler(this::count);
         router.route("/v1/*").handler(BodyHandler.create(false).setBodyLimit(parts.maxBodyBytes()));
         router.post("/v1/chat/completions").handler(guard(this::model));
@@ -132,9 +156,11 @@
         c.next();
     }
 
-    private void ready(RoutingContext c) {
-        boolean ready = parts.ready().get();
-        c.response().setStatusCode(ready ? 200 : 503).end(ready ? "ready\n" : "not ready\n");
+    private static void report(RoutingContext c, Health.Report report) {
+        c.response()
+                .setStatusCode(report.httpStatus())
+                .putHeader("Content-Type", "application/json")
+                .end(report.body().toBuffer());
     }
 
     private io.vertx.core.Handler<RoutingContext> guard(BiConsumer<RoutingContext, CustomerId> handler) {
@@ -179,7 +205,8 @@
 
     private void submit(RoutingContext c, CallRequest call, boolean stream) {
         HttpServerRequest request = c.request();
-        Responder responder = new HttpResponder(c.response(), stream, resumeBytes(request));
+        Responder answer = new HttpResponder(c.response(), stream, resumeBytes(request));
+        Responder responder = new MeteredResponder(answer, parts.metrics(), parts.clock(), call.kind());
         Runnable gone = parts.programs().submit(call, responder);
         c.response().closeHandler(v -> gone.run());
     }
@@ -211,9 +238,9 @@
     }
 
     private void create(RoutingContext c, CustomerId who) {
-        Create create = new ProgramParser(
-                        body(c), parts.configuration().get(), parts.clock().nowMs())
-                .create(who);
+        long nowMs = parts.clock().nowMs();
+        Create asked = new ProgramParser(body(c), nowMs).create(who);
+        Create create = new ProgramDefaults(parts.configuration().get(), nowMs).complete(asked);
         ProgramId program =
                 new ProgramId(create.getProgram().isEmpty() ? UUID.randomUUID().toString() : create.getProgram());
         ask(
--- a/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
@@ -1,10 +1,14 @@
 package org.celerygw.daemon.send;
 
 import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.celerygw.api.gen.operator.BackendInfo;
 import org.celerygw.core.call.CallKind;
 import org.celerygw.core.gen.config.Configuration;
+import org.celerygw.core.id.BackendServerId;
 import org.celerygw.core.id.CallId;
 import org.celerygw.core.id.HostId;
 import org.celerygw.core.id.ProgramId;
@@ -90,6 +94,15 @@
         watch.releases();
     }
 
+    /**
+     * Sends no new work to a back end that is leaving.
+     *
+     * @param engine the back end
+     */
+    public void leaving(BackendServerId engine) {
+        models.leaving(engine);
+    }
+
     /** Reads every engine's load. */
     public void pollLoad() {
         watch.pollLoad();
@@ -112,7 +125,16 @@
     }
 
     /**
-     * Returns how many model calls run or wait here.
+     * Returns the engines and services of the configuration, as this host sees them.
+     *
+     * @return a row for each
+     */
+    public List<BackendInfo> backends() {
+        return Stream.concat(models.backends(), tools.backends()).toList();
+    }
+
+    /**
+     * Returns how many calls run or wait here.
      *
      * @return the number
      */
--- a/daemon/src/main/java/org/celerygw/daemon/send/ModelSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/ModelSender.java
@@ -7,6 +7,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.celerygw.api.gen.operator.BackendInfo;
 import org.celerygw.core.call.Outcome;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.RunState;
@@ -93,6 +95,23 @@
         parts.dispatcher().programEnded(program, parts.clock().nowMs());
     }
 
+    void leaving(BackendServerId engine) {
+        parts.dispatcher().leaving(engine);
+    }
+
+    Stream<BackendInfo> backends() {
+        return engines.all().values().stream().map(b -> BackendInfo.newBuilder()
+                .setId(b.getId())
+                .setAddress(b.getHost() + ":" + b.getPort())
+                .setZone(b.getZone())
+                .setState(b.getLeaving() ? "leaving" : "serving")
+                .setInFlight((int) byTicket.values().stream()
+                        .filter(f -> f.engine.equals(b.getId()))
+                        .count())
+                .setModels(String.join(",", b.getModelsList()))
+                .build());
+    }
+
     int underWay() {
         return byCall.size();
     }
--- a/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.celerygw.api.gen.operator.BackendInfo;
 import org.celerygw.core.call.CallRequest;
 import org.celerygw.core.call.Outcome;
 import org.celerygw.core.error.ErrorCode;
@@ -66,6 +68,16 @@
         }
     }
 
+    Stream<BackendInfo> backends() {
+        return gates.values().stream().map(g -> BackendInfo.newBuilder()
+                .setId(g.service.getName())
+                .setAddress(g.service.getHost() + ":" + g.service.getPort())
+                .setZone(g.service.getZone())
+                .setState("service")
+                .setInFlight(g.running)
+                .build());
+    }
+
     int underWay() {
         return byCall.size();
     }
--- a/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
+++ b/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
@@ -18,6 +18,7 @@
 import org.celerygw.core.error.RunState;
 import org.celerygw.core.id.CallId;
 import org.celerygw.core.id.HostId;
+import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.id.Slot;
 import org.celerygw.core.owner.Effect;
 import org.celerygw.core.owner.Event;
@@ -174,6 +175,25 @@
         return owner.ownerOf(slot);
     }
 
+    /**
+     * Returns how many slots this host owns.
+     *
+     * @return the number
+     */
+    public int slotsOwned() {
+        return owner.slotsOwned();
+    }
+
+    /**
+     * Returns whether a program in a slot of this host has not ended.
+     *
+     * @param program the program
+     * @return true when it goes on
+     */
+    public boolean isLive(ProgramId program) {
+        return owner.isLive(program);
+    }
+
     /** Stops at once: nothing more is decided or sent, waiting callers get no answer. */
     public void kill() {
         stopped = true;
