--- a/daemon/src/main/java/org/celerygw/daemon/metrics/Metrics.java
+++ b/daemon/src/main/java/org/celerygw/daemon/metrics/Metrics.java
@@ -62,7 +62,7 @@
         GaugeWithCallback.builder()
                 .name("celerygw_heap_used_bytes")
                 .help("Bytes of the Java heap in use.")
-                .callback(sink -> sink.call(runtime.totalMemory() - runtime.freeMemory()))
+                .callback(sink -> sink.call((double) (runtime.totalMemory() - runtime.freeMemory())))
                 .register(registry);
     }
 
@@ -165,7 +165,7 @@
      * @param count how many
      */
     public void unknownCalls(long count) {
-        unknownCalls.set(count);
+        unknownCalls.set((double) count);
     }
 
     /**
@@ -184,7 +184,7 @@
      * @param confirmed whether it is known to be the newest
      */
     public void config(long version, boolean confirmed) {
-        configVersion.set(version);
+        configVersion.set((double) version);
         configConfirmed.set(confirmed ? 1 : 0);
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/operator/OperatorServer.java
@@ -59,7 +59,7 @@
         this.clock = clock;
         this.metrics = metrics;
         this.keys = new OperatorKeys(settings.operators());
-        this.server = vertx.createHttpServer(ServerTls.secure(new HttpServerOptions(), settings.tls()));
+        this.server = vertx.createHttpServer(ServerTls.secure(vertx, new HttpServerOptions(), settings.tls()));
     }
 
     /**
