--- a/cli/src/main/java/org/celerygw/cli/Main.java
+++ b/cli/src/main/java/org/celerygw/cli/Main.java
@@ -10,6 +10,6 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        System.exit(args.length == 0 ? 2 : 0);
+        System.exit(new org.celerygw.cli.demo.Demo(org.celerygw.cli.demo.Demo.Options.DEFAULT, System.out).run());
     }
 }
