--- /dev/null
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/BackendAddress.java
@@ -0,0 +1,23 @@
+package org.celerygw.daemon.backend;
+
+import org.celerygw.core.helper.Check;
+
+/**
+ * Where a backend server listens.
+ *
+ * @param ip its IP number
+ * @param port its TCP port
+ */
+public record BackendAddress(String ip, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the port. */
+    public BackendAddress {
+        Check.that(port > 0 && port <= MAX_PORT, "port must be from 1 to 65535");
+    }
+
+    @Override
+    public String toString() {
+        return ip + ":" + port;
+    }
+}
--- a/daemon/src/main/java/org/celerygw/daemon/store/HttpTable.java
+++ b/daemon/src/main/java/org/celerygw/daemon/store/HttpTable.java
@@ -14,6 +14,7 @@
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
+import org.celerygw.daemon.client.Reply;
 
 /** The platform's table over HTTP. */
 final class HttpTable implements Table {
@@ -57,8 +58,8 @@
         client.post("/table/scan", request, reply -> done.accept(answer(reply)));
     }
 
-    private static TxnResult result(StoreClient.Reply reply) {
-        WriteReply read = reply.parse(WriteReply.parser(), WriteReply.getDefaultInstance());
+    private static TxnResult result(Reply reply) {
+        WriteReply read = StoreClient.parse(reply, WriteReply.parser(), WriteReply.getDefaultInstance());
         return switch (read.getStatus()) {
             case COMMITTED -> TxnResult.COMMITTED;
             case CONFLICT -> TxnResult.conflict(rows(read.getFoundList()));
@@ -66,8 +67,8 @@
         };
     }
 
-    private static Answer answer(StoreClient.Reply reply) {
-        RowsReply read = reply.parse(RowsReply.parser(), RowsReply.getDefaultInstance());
+    private static Answer answer(Reply reply) {
+        RowsReply read = StoreClient.parse(reply, RowsReply.parser(), RowsReply.getDefaultInstance());
         return read.getComplete() ? new Answer(true, rows(read.getRowsList())) : Answer.FAILED;
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/store/PlatformStore.java
+++ b/daemon/src/main/java/org/celerygw/daemon/store/PlatformStore.java
@@ -10,6 +10,7 @@
 import org.celerygw.core.helper.Check;
 import org.celerygw.core.store.ObjectStore;
 import org.celerygw.core.store.Table;
+import org.celerygw.daemon.client.Reply;
 
 /**
  * The platform's services as one daemon uses them. A request that is not answered whole within the timeout yields an
@@ -81,8 +82,8 @@
         return client.close();
     }
 
-    private static HostList hostList(StoreClient.Reply reply) {
-        HostListReply list = reply.parse(HostListReply.parser(), HostListReply.getDefaultInstance());
+    private static HostList hostList(Reply reply) {
+        HostListReply list = StoreClient.parse(reply, HostListReply.parser(), HostListReply.getDefaultInstance());
         return list.getComplete() ? new HostList(true, list.getHostsList()) : HostList.FAILED;
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/store/StoreClient.java
+++ b/daemon/src/main/java/org/celerygw/daemon/store/StoreClient.java
@@ -8,12 +8,13 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.net.URI;
 import java.util.function.Consumer;
+import org.celerygw.daemon.client.Reply;
+import org.celerygw.daemon.client.WholeRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,80 +47,37 @@
     }
 
     void send(HttpMethod method, String path, Buffer body, Consumer<Reply> done) {
-        new Attempt(done).start(method, path, body);
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost(uri.getHost())
+                .setPort(uri.getPort())
+                .setURI(path);
+        WholeRequest.send(vertx, http, options, body, timeoutMs, reply -> {
+            logLost(reply, path);
+            done.accept(reply);
+        });
     }
 
     Future<Void> close() {
         return http.close();
     }
 
-    /**
-     * An answer, or none.
-     *
-     * @param status the HTTP status; 0 when no whole answer came
-     * @param body the whole body
-     */
-    record Reply(int status, Buffer body) {
-        static final Reply NONE = new Reply(0, Buffer.buffer());
-
-        boolean isOk() {
-            return status == 200;
+    /** Returns the message in an answer, or the other one when there is none to read. */
+    static <T> T parse(Reply reply, Parser<T> parser, T other) {
+        if (!reply.isOk()) {
+            return other;
         }
-
-        /** Returns the message in the body, or the other one when there is none to read. */
-        <T> T parse(Parser<T> parser, T other) {
-            if (!isOk()) {
-                return other;
-            }
-            try {
-                return parser.parseFrom(body.getBytes());
-            } catch (InvalidProtocolBufferException e) {
-                log.warn("store: unreadable answer: {}", e.getMessage());
-                return other;
-            }
+        try {
+            return parser.parseFrom(reply.body().getBytes());
+        } catch (InvalidProtocolBufferException e) {
+            log.warn("store: unreadable answer: {}", e.getMessage());
+            return other;
         }
     }
 
-    /** One request; ends once, by the answer, a failure or the timeout. */
-    private final class Attempt {
-        private final Consumer<Reply> done;
-        private boolean ended;
-        private long timer;
-
-        private Attempt(Consumer<Reply> done) {
-            this.done = done;
-        }
-
-        private void start(HttpMethod method, String path, Buffer body) {
-            RequestOptions options = new RequestOptions()
-                    .setMethod(method)
-                    .setHost(uri.getHost())
-                    .setPort(uri.getPort())
-                    .setURI(path);
-            Future<HttpClientRequest> opened = http.request(options);
-            timer = vertx.setTimer(timeoutMs, id -> timeout(opened, path));
-            opened.compose(request -> request.send(body))
-                    .compose(response -> response.body().map(whole -> new Reply(response.statusCode(), whole)))
-                    .onComplete(result -> end(result.succeeded() ? result.result() : Reply.NONE));
-        }
-
-        /** Closes the connection: once silent, it would fail every later request too. */
-        private void timeout(Future<HttpClientRequest> opened, String path) {
-            if (ended) {
-                return;
-            }
-            log.warn("store: no answer in {} ms to {}", timeoutMs, path);
-            opened.onSuccess(request -> request.connection().close());
-            end(Reply.NONE);
-        }
-
-        private void end(Reply reply) {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            vertx.cancelTimer(timer);
-            done.accept(reply);
+    private void logLost(Reply reply, String path) {
+        if (reply.end() != Reply.End.ANSWERED) {
+            log.warn("store: no answer to {}: {}", path, reply.end());
         }
     }
 }
