--- /dev/null
+++ b/cli/src/main/java/org/celerygw/cli/Document.java
@@ -0,0 +1,99 @@
+package org.celerygw.cli;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.util.JsonFormat;
+import org.celerygw.api.gen.operator.ConfigReply;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.gen.config.BackendServer;
+import org.celerygw.core.gen.config.Configuration;
+import org.celerygw.core.gen.config.Customer;
+import org.celerygw.core.gen.config.Limits;
+import org.celerygw.core.gen.config.PriorityClass;
+import org.celerygw.core.gen.config.Service;
+
+/** The configuration as a JSON document: its version and its content, as {@code config get --json} prints it. */
+final class Document {
+    private Document() {}
+
+    static ConfigReply parse(String json) {
+        ConfigReply.Builder builder = ConfigReply.newBuilder();
+        try {
+            JsonFormat.parser().merge(json, builder);
+        } catch (InvalidProtocolBufferException e) {
+            throw new GatewayException(
+                    ErrorCode.INVALID_ARGUMENT, "the document is not a configuration: " + e.getMessage());
+        }
+        if (!builder.hasConfiguration()) {
+            throw new GatewayException(ErrorCode.INVALID_ARGUMENT, "the document has no field configuration");
+        }
+        return builder.build();
+    }
+
+    /** Returns a configuration that fits {@code celerygw standin}; version 0 makes it the first one. */
+    static ConfigReply example() {
+        Configuration content = Configuration.newBuilder()
+                .addCustomers(customer("litoral", "929588d560caa1e586c047972252c712792a3fa5869032c1b6c4104e3c67746a"))
+                .addCustomers(
+                        customer("fraserline", "2b55e1def67c9a595515ada4f0b3c589bdbc9ed6ca65115745e896905d7398f9"))
+                .addClasses(priorityClass("session", 0))
+                .addClasses(priorityClass("batch", 1))
+                .addBackends(backend("engine-0", 9_002, "zone-a"))
+                .addBackends(backend("engine-1", 9_003, "zone-b"))
+                .addServices(service("declarations", false))
+                .addServices(service("records", true))
+                .setLimits(Limits.newBuilder()
+                        .setMaxBodyBytes(4 << 20)
+                        .setMaxTurns(200)
+                        .setDefaultBudgetTokens(400_000)
+                        .setProgramTimeToLiveMs(3_600_000)
+                        .setMaxOutputTokens(4_096))
+                .build();
+        return ConfigReply.newBuilder()
+                .setConfiguration(content)
+                .setReason("first configuration")
+                .build();
+    }
+
+    private static Customer customer(String id, String keySha256Hex) {
+        return Customer.newBuilder()
+                .setId(id)
+                .addKeySha256Hex(keySha256Hex)
+                .setCeilingTokens(100_000_000)
+                .setShare(1)
+                .setMaxCalls(200)
+                .build();
+    }
+
+    private static PriorityClass priorityClass(String name, int rank) {
+        return PriorityClass.newBuilder()
+                .setName(name)
+                .setRank(rank)
+                .setAgeingMs(30_000)
+                .setDefaultDeadlineMs(600_000)
+                .build();
+    }
+
+    private static BackendServer backend(String id, int port, String zone) {
+        return BackendServer.newBuilder()
+                .setId(id)
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setZone(zone)
+                .addModels("draft-1")
+                .setHonoursFencing(true)
+                .build();
+    }
+
+    private static Service service(String name, boolean repeatable) {
+        return Service.newBuilder()
+                .setName(name)
+                .setHost("127.0.0.1")
+                .setPort(9_001)
+                .setZone("zone-a")
+                .setRepeatable(repeatable)
+                .setTimeoutMs(10_000)
+                .setMaxCalls(100)
+                .build();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/celerygw/cli/Tools.java
@@ -0,0 +1,27 @@
+package org.celerygw.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Subcommands that need no running daemon and read their own arguments: the stand-ins, the demo and the like. */
+final class Tools {
+    /** Every tool by its name. */
+    static final Map<String, Tool> ALL = new TreeMap<>();
+
+    static {
+        ALL.put("standin", new Tool("run stand-ins for the platform, engines and tool services", StandinTool::run));
+    }
+
+    private Tools() {}
+
+    /** One tool: a line of help and what it does. */
+    record Tool(String help, Body body) {}
+
+    /** What a tool does, given the arguments after its name; returns the exit code. */
+    @FunctionalInterface
+    interface Body {
+        int run(List<String> args, PrintStream out);
+    }
+}
