--- a/cli/src/main/java/org/celerygw/cli/Main.java
+++ b/cli/src/main/java/org/celerygw/cli/Main.java
@@ -23,6 +23,7 @@
      * @param args the command line
      */
     public static void main(String[] args) {
+        Logging.toStandardError();
         System.exit(run(List.of(args), System.out, System.err));
     }
 
@@ -33,8 +34,7 @@
         ArgumentParser parser = Arguments.parser();
         try {
             return runCommand(parser.parseArgs(args.toArray(new String[0])), out, err);
-        } catch (HelpScreenException e) {
-            parser.handleError(e, new PrintWriter(out, true, StandardCharsets.UTF_8));
+        } catch (HelpScreenException e) { // the library has printed the help already
             return 0;
         } catch (ArgumentParserException e) {
             e.getParser().handleError(e, new PrintWriter(err, true, StandardCharsets.UTF_8));
--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -271,7 +271,7 @@
                     .setHost(settings.listen().address())
                     .setPort(settings.listen().httpPort())
                     .setMaxHeaderSize(settings.listen().maxHeaderBytes());
-            return ServerTls.secure(options, settings.tls());
+            return ServerTls.secure(vertx, options, settings.tls());
         }
 
         private CallerServer.Parts callerParts() {
