--- a/daemon/src/main/java/org/celerygw/daemon/Process.java
+++ b/daemon/src/main/java/org/celerygw/daemon/DaemonProcess.java
@@ -14,15 +14,15 @@
 import sun.misc.Signal;
 
 /** Runs one daemon as a process until it is told to stop by a signal. */
-final class Process {
-    private static final Logger LOG = LoggerFactory.getLogger(Process.class);
+final class DaemonProcess {
+    private static final Logger LOG = LoggerFactory.getLogger(DaemonProcess.class);
 
     private final Settings settings;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch ended = new CountDownLatch(1);
     private volatile int exitCode;
 
-    Process(Settings settings) {
+    DaemonProcess(Settings settings) {
         this.settings = settings;
     }
 
@@ -33,8 +33,10 @@
                 .setLevel(Level.valueOf(settings.logLevel().name()));
         Vertx vertx = Vertx.vertx();
         try {
-            Daemon daemon =
-                    Daemon.start(vertx, settings).toCompletionStage().toCompletableFuture().get();
+            Daemon daemon = Daemon.start(vertx, settings)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get();
             watchSignals(daemon);
             daemon.stopped().onComplete(r -> end(r.succeeded() ? 0 : ErrorCode.NOT_OWNER.exitCode()));
             ended.await();
--- a/daemon/src/main/java/org/celerygw/daemon/Main.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Main.java
@@ -24,7 +24,7 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        System.exit(run(args, System.out, System.err, settings -> new Process(settings).run()));
+        System.exit(run(args, System.out, System.err, settings -> new DaemonProcess(settings).run()));
     }
 
     static int run(String[] args, PrintStream out, PrintStream err, ToIntFunction<Settings> start) {
