--- a/core/src/main/java/org/celerygw/core/budget/Grants.java
+++ b/core/src/main/java/org/celerygw/core/budget/Grants.java
@@ -66,6 +66,7 @@
         private boolean busy;
         private boolean exhausted;
         private long wantedTokens;
+        private final Map<String, Long> closing = new HashMap<>();
         private long nextTryMs;
         private @Nullable Txn txn;
         private Grant next = Grant.getDefaultInstance();
@@ -122,7 +123,7 @@
     }
 
     private void draw(CustomerId customer, Account a, long nowMs) {
-        if (a.busy || nowMs < a.nextTryMs || (a.txn == null && a.wantedTokens == 0)) {
+        if (a.busy || nowMs < a.nextTryMs || (a.txn == null && a.wantedTokens == 0 && a.closing.isEmpty())) {
             return;
         }
         a.busy = true;
@@ -138,7 +139,18 @@
             });
             return;
         }
-        Txn txn = a.txn == null ? drawing(customer, a) : a.txn;
+        Txn txn = a.txn;
+        if (txn == null && !a.closing.isEmpty()) {
+            txn = closing(customer, a);
+            if (txn == null) {
+                a.busy = false;
+                a.nextTryMs = 0;
+                return;
+            }
+        }
+        if (txn == null) {
+            txn = drawing(customer, a);
+        }
         if (txn == null) {
             a.busy = false;
             a.read = false;
@@ -152,6 +164,48 @@
         table.write(txn, result -> drawn(a, result));
     }
 
+    /**
+     * Returns what an owner that is gone did not spend: its share is replaced by what it spent.
+     *
+     * @param gone the owner whose journal is sealed or, when it leaves, this owner
+     * @param tallies all that it spent
+     */
+    public void close(HostId gone, Tallies tallies) {
+        accounts.forEach((customer, a) -> {
+            if (a.ceilingTokens != Long.MAX_VALUE) {
+                a.closing.put(gone.value(), tallies.of(customer));
+            }
+        });
+    }
+
+    private @Nullable Txn closing(CustomerId customer, Account a) {
+        List<String> present = a.grant.getSharesList().stream()
+                .map(Share::getHost)
+                .filter(a.closing::containsKey)
+                .toList();
+        if (present.isEmpty()) {
+            // A share that is absent in a fresh row was closed by another host.
+            if (a.fresh) {
+                a.closing.clear();
+            }
+            a.read = a.fresh;
+            return null;
+        }
+        Grant.Builder next = a.grant.toBuilder().clearShares();
+        a.grant.getSharesList().stream()
+                .filter(s -> !present.contains(s.getHost()))
+                .forEach(next::addShares);
+        long spent = present.stream().mapToLong(a.closing::get).sum();
+        next.setSpentTokens(a.grant.getSpentTokens() + spent);
+        return put(customer, a, next.build());
+    }
+
+    private static Txn put(CustomerId customer, Account a, Grant next) {
+        a.next = next;
+        String key = Keys.grant(customer);
+        return new Txn(List.of(new Txn.Condition(key, a.version)), List.of(Txn.Change.put(key, next.toByteString())));
+    }
+
     private @Nullable Txn drawing(CustomerId customer, Account a) {
         long taken = a.grant.getSpentTokens()
                 + a.grant.getSharesList().stream().mapToLong(Share::getTokens).sum();
@@ -169,9 +223,7 @@
                 .setHost(host.value())
                 .setTokens(a.sharedTokens + more)
                 .setDrawNumber(a.draws));
-        a.next = next.build();
-        String key = Keys.grant(customer);
-        return new Txn(List.of(new Txn.Condition(key, a.version)), List.of(Txn.Change.put(key, a.next.toByteString())));
+        return put(customer, a, next.build());
     }
 
     private void drawn(Account a, TxnResult result) {
--- a/core/src/main/java/org/celerygw/core/gen/state/Entry.java
+++ b/core/src/main/java/org/celerygw/core/gen/state/Entry.java
@@ -29,6 +29,7 @@
   }
   private Entry() {
     program_ = "";
+    customer_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -368,6 +369,68 @@
     return org.celerygw.core.gen.state.Damaged.getDefaultInstance();
   }
 
+  public static final int CUSTOMER_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object customer_ = "";
+  /**
+   * <pre>
+   * set when the entry changes what the customer spent through this journal
+   * </pre>
+   *
+   * <code>string customer = 10;</code>
+   * @return The customer.
+   */
+  @java.lang.Override
+  public java.lang.String getCustomer() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      customer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * set when the entry changes what the customer spent through this journal
+   * </pre>
+   *
+   * <code>string customer = 10;</code>
+   * @return The bytes for customer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCustomerBytes() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      customer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TALLY_TOKENS_FIELD_NUMBER = 11;
+  private long tallyTokens_ = 0L;
+  /**
+   * <pre>
+   * by how much
+   * </pre>
+   *
+   * <code>int64 tally_tokens = 11;</code>
+   * @return The tallyTokens.
+   */
+  @java.lang.Override
+  public long getTallyTokens() {
+    return tallyTokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -409,6 +472,12 @@
     if (kindCase_ == 9) {
       output.writeMessage(9, (org.celerygw.core.gen.state.Damaged) kind_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 10, customer_);
+    }
+    if (tallyTokens_ != 0L) {
+      output.writeInt64(11, tallyTokens_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -453,6 +522,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (org.celerygw.core.gen.state.Damaged) kind_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(10, customer_);
+    }
+    if (tallyTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, tallyTokens_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -472,6 +548,10 @@
         .equals(other.getProgram())) return false;
     if (getAtMs()
         != other.getAtMs()) return false;
+    if (!getCustomer()
+        .equals(other.getCustomer())) return false;
+    if (getTallyTokens()
+        != other.getTallyTokens()) return false;
     if (!getKindCase().equals(other.getKindCase())) return false;
     switch (kindCase_) {
       case 3:
@@ -521,6 +601,11 @@
     hash = (37 * hash) + AT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAtMs());
+    hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+    hash = (53 * hash) + getCustomer().hashCode();
+    hash = (37 * hash) + TALLY_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTallyTokens());
     switch (kindCase_) {
       case 3:
         hash = (37 * hash) + CREATED_FIELD_NUMBER;
@@ -707,6 +792,8 @@
       if (damagedBuilder_ != null) {
         damagedBuilder_.clear();
       }
+      customer_ = "";
+      tallyTokens_ = 0L;
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -749,6 +836,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.atMs_ = atMs_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.customer_ = customer_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.tallyTokens_ = tallyTokens_;
+      }
     }
 
     private void buildPartialOneofs(org.celerygw.core.gen.state.Entry result) {
@@ -804,6 +897,14 @@
       if (other.getAtMs() != 0L) {
         setAtMs(other.getAtMs());
       }
+      if (!other.getCustomer().isEmpty()) {
+        customer_ = other.customer_;
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      if (other.getTallyTokens() != 0L) {
+        setTallyTokens(other.getTallyTokens());
+      }
       switch (other.getKindCase()) {
         case CREATED: {
           mergeCreated(other.getCreated());
@@ -922,6 +1023,16 @@
               kindCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              customer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
+            case 88: {
+              tallyTokens_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2052,6 +2163,142 @@
       return damagedBuilder_;
     }
 
+    private java.lang.Object customer_ = "";
+    /**
+     * <pre>
+     * set when the entry changes what the customer spent through this journal
+     * </pre>
+     *
+     * <code>string customer = 10;</code>
+     * @return The customer.
+     */
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * set when the entry changes what the customer spent through this journal
+     * </pre>
+     *
+     * <code>string customer = 10;</code>
+     * @return The bytes for customer.
+     */
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * set when the entry changes what the customer spent through this journal
+     * </pre>
+     *
+     * <code>string customer = 10;</code>
+     * @param value The customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      customer_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set when the entry changes what the customer spent through this journal
+     * </pre>
+     *
+     * <code>string customer = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomer() {
+      customer_ = getDefaultInstance().getCustomer();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set when the entry changes what the customer spent through this journal
+     * </pre>
+     *
+     * <code>string customer = 10;</code>
+     * @param value The bytes for customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      customer_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
+    private long tallyTokens_ ;
+    /**
+     * <pre>
+     * by how much
+     * </pre>
+     *
+     * <code>int64 tally_tokens = 11;</code>
+     * @return The tallyTokens.
+     */
+    @java.lang.Override
+    public long getTallyTokens() {
+      return tallyTokens_;
+    }
+    /**
+     * <pre>
+     * by how much
+     * </pre>
+     *
+     * <code>int64 tally_tokens = 11;</code>
+     * @param value The tallyTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTallyTokens(long value) {
+
+      tallyTokens_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * by how much
+     * </pre>
+     *
+     * <code>int64 tally_tokens = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTallyTokens() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      tallyTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.state.Entry)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/state/EntryOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/state/EntryOrBuilder.java
@@ -133,5 +133,35 @@
    */
   org.celerygw.core.gen.state.DamagedOrBuilder getDamagedOrBuilder();
 
+  /**
+   * <pre>
+   * set when the entry changes what the customer spent through this journal
+   * </pre>
+   *
+   * <code>string customer = 10;</code>
+   * @return The customer.
+   */
+  java.lang.String getCustomer();
+  /**
+   * <pre>
+   * set when the entry changes what the customer spent through this journal
+   * </pre>
+   *
+   * <code>string customer = 10;</code>
+   * @return The bytes for customer.
+   */
+  com.google.protobuf.ByteString
+      getCustomerBytes();
+
+  /**
+   * <pre>
+   * by how much
+   * </pre>
+   *
+   * <code>int64 tally_tokens = 11;</code>
+   * @return The tallyTokens.
+   */
+  long getTallyTokens();
+
   org.celerygw.core.gen.state.Entry.KindCase getKindCase();
 }
--- a/core/src/main/java/org/celerygw/core/gen/state/State.java
+++ b/core/src/main/java/org/celerygw/core/gen/state/State.java
@@ -157,7 +157,7 @@
       "\002 \001(\003\"D\n\005Grant\022\024\n\014spent_tokens\030\001 \001(\003\022%\n\006" +
       "shares\030\002 \003(\0132\025.celerygw.state.Share\":\n\005S" +
       "hare\022\014\n\004host\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\003\022\023\n\013dr" +
-      "aw_number\030\003 \001(\003\"\326\002\n\005Entry\022\017\n\007program\030\001 \001" +
+      "aw_number\030\003 \001(\003\"\376\002\n\005Entry\022\017\n\007program\030\001 \001" +
       "(\t\022\r\n\005at_ms\030\002 \001(\003\022*\n\007created\030\003 \001(\0132\027.cel" +
       "erygw.state.CreatedH\000\022*\n\007started\030\004 \001(\0132\027" +
       ".celerygw.state.StartedH\000\022$\n\004done\030\005 \001(\0132" +
@@ -165,7 +165,8 @@
       "2\024.celerygw.state.DoneH\000\022&\n\005ended\030\007 \001(\0132" +
       "\025.celerygw.state.EndedH\000\022*\n\007removed\030\010 \001(" +
       "\0132\027.celerygw.state.RemovedH\000\022*\n\007damaged\030" +
-      "\t \001(\0132\027.celerygw.state.DamagedH\000B\006\n\004kind" +
+      "\t \001(\0132\027.celerygw.state.DamagedH\000\022\020\n\010cust" +
+      "omer\030\n \001(\t\022\024\n\014tally_tokens\030\013 \001(\003B\006\n\004kind" +
       "\"\252\001\n\007Created\022\020\n\010customer\030\001 \001(\t\022\016\n\006parent" +
       "\030\002 \001(\t\022\026\n\016priority_class\030\003 \001(\t\022\025\n\rbudget" +
       "_tokens\030\004 \001(\003\022\023\n\013deadline_ms\030\005 \001(\003\022\027\n\017ti" +
@@ -268,7 +269,7 @@
     internal_static_celerygw_state_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_state_Entry_descriptor,
-        new java.lang.String[] { "Program", "AtMs", "Created", "Started", "Done", "Settled", "Ended", "Removed", "Damaged", "Kind", });
+        new java.lang.String[] { "Program", "AtMs", "Created", "Started", "Done", "Settled", "Ended", "Removed", "Damaged", "Customer", "TallyTokens", "Kind", });
     internal_static_celerygw_state_Created_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_celerygw_state_Created_fieldAccessorTable = new
--- a/core/src/main/java/org/celerygw/core/journal/Journal.java
+++ b/core/src/main/java/org/celerygw/core/journal/Journal.java
@@ -47,6 +47,7 @@
     private long seq;
     private SnapshotPointer snapshot = SnapshotPointer.getDefaultInstance();
     private boolean headDirty;
+    private @Nullable Runnable pointed;
     private boolean opened;
     private boolean stopped;
     private int owners = 1;
@@ -135,10 +136,12 @@
      * Names a stored snapshot in the head from the next write on.
      *
      * @param pointer the snapshot
+     * @param durable run once the head names it
      */
-    public void pointTo(SnapshotPointer pointer) {
+    public void pointTo(SnapshotPointer pointer, Runnable durable) {
         snapshot = pointer;
         headDirty = true;
+        pointed = durable;
     }
 
     /**
@@ -304,6 +307,11 @@
             durable++;
             w.durable().accept(w.entry(), ref);
         }
+        Runnable named = pointed;
+        if (named != null && f.snapshot.equals(snapshot)) {
+            pointed = null;
+            named.run();
+        }
         runBarriers();
     }
 
--- a/core/src/main/java/org/celerygw/core/owner/Calls.java
+++ b/core/src/main/java/org/celerygw/core/owner/Calls.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.celerygw.core.budget.Grants;
 import org.celerygw.core.call.CallRequest;
 import org.celerygw.core.call.Outcome;
@@ -17,6 +19,7 @@
 import org.celerygw.core.gen.state.Started;
 import org.celerygw.core.id.CallId;
 import org.celerygw.core.id.HostId;
+import org.celerygw.core.id.IdempotencyKey;
 import org.celerygw.core.id.PriorityClassName;
 import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.id.Slot;
@@ -51,7 +54,8 @@
         nowMs = timeMs;
     }
 
-    void submit(CallRequest call, ReplyTag tag) {
+    /** Takes a call; one that begins anew is turned away while its slot waits to be handed over. */
+    void submit(CallRequest call, ReplyTag tag, boolean closing) {
         Program p = recorder.programs().find(call.id().program());
         if (p == null) {
             refuse(tag, ErrorCode.NOT_FOUND, RunState.NOT_RUN, "there is no such program");
@@ -75,6 +79,10 @@
             repeat(p, known, call, tag);
             return;
         }
+        if (closing) {
+            refuse(tag, ErrorCode.NOT_OWNER, RunState.NOT_RUN, "the slot is being handed over");
+            return;
+        }
         // A repeated call may have run in an earlier attempt: its refusals must not deny that.
         RunState earlier = known == null
                 ? RunState.NOT_RUN
@@ -415,6 +423,46 @@
         });
     }
 
+    /** Records what is known of calls that an earlier owner may have sent; none of them is sent again here. */
+    void resolve(Program p) {
+        Started s = p.lastCall().getStarted();
+        boolean repeatable = s.getRepeatable();
+        Outcome outcome = Outcome.failed(
+                repeatable ? ErrorCode.BACKEND_LOST : ErrorCode.OUTCOME_UNKNOWN,
+                RunState.UNKNOWN,
+                0,
+                s.getSender() + " ended before the outcome was recorded");
+        Done done = Entries.done(s.getNumber(), s.getAttempt(), outcome)
+                .setSpentTokens(s.getReservedTokens())
+                .build();
+        recorder.record(Entries.done(p.id(), done, nowMs), () -> {});
+        if (!repeatable) {
+            CallId id = new CallId(p.id(), s.getNumber());
+            io.log("doubt: " + id + " may have run at " + s.getTarget());
+            io.emit(new Effect.AskOutcome(id, s.getAttempt(), s.getTarget(), new IdempotencyKey(s.getKey())));
+        }
+    }
+
+    /** Takes the answer of a service that was asked about a call in doubt. */
+    void outcomeFound(Event.OutcomeFound e) {
+        Program p = recorder.programs().find(e.call().program());
+        CallImage last = p == null ? null : p.lastCall();
+        boolean waits = last != null
+                && p.isInDoubt()
+                && last.getStarted().getNumber() == e.call().number()
+                && last.getStarted().getAttempt() == e.attempt();
+        if (!waits || e.outcome().runState() == RunState.UNKNOWN) {
+            return;
+        }
+        Done done = Entries.done(e.call().number(), e.attempt(), e.outcome())
+                .setSpentTokens(
+                        e.outcome().runState() == RunState.RUN ? last.getDone().getSpentTokens() : 0)
+                .setActor("service:" + last.getStarted().getTarget())
+                .build();
+        io.log("settle: " + e.call() + " as " + e.outcome().runState() + " by its service");
+        recorder.record(Entries.settled(p.id(), done, nowMs), () -> {});
+    }
+
     void tick() {
         List<OpenCall> calls = open.values().stream().flatMap(Deque::stream).toList();
         calls.forEach(this::expire);
@@ -439,8 +487,8 @@
         open.values().stream().flatMap(Deque::stream).forEach(c -> c.tags.remove(tag));
     }
 
-    boolean isQuiet(Slot slot) {
-        return open.keySet().stream().noneMatch(id -> id.slot().equals(slot));
+    Set<Slot> busySlots() {
+        return open.keySet().stream().map(ProgramId::slot).collect(Collectors.toSet());
     }
 
     boolean isQuiet(ProgramId id) {
--- a/core/src/main/java/org/celerygw/core/owner/Owner.java
+++ b/core/src/main/java/org/celerygw/core/owner/Owner.java
@@ -1,10 +1,8 @@
 package org.celerygw.core.owner;
 
 import com.google.protobuf.ByteString;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.celerygw.core.budget.Grants;
 import org.celerygw.core.call.Outcome;
 import org.celerygw.core.error.ErrorCode;
@@ -14,6 +12,7 @@
 import org.celerygw.core.id.Slot;
 import org.celerygw.core.journal.Contents;
 import org.celerygw.core.journal.Journal;
+import org.celerygw.core.journal.Replay;
 import org.celerygw.core.ownership.Ownership;
 import org.celerygw.core.program.Program;
 import org.celerygw.core.program.Programs;
@@ -33,7 +32,9 @@
     private final Grants grants;
     private final Calls calls;
     private final Lifecycle lifecycle;
-    private final Set<Slot> active = new HashSet<>();
+    private final Recorder recorder;
+    private final Replay replay;
+    private final Slots slots;
     private boolean begun;
     private boolean deposed;
 
@@ -48,10 +49,23 @@
         Contents contents = new Contents(io, io);
         journal = new Journal(host, io, io, settings.pace(), this::depose);
         ownership = new Ownership(host, io, settings.lease(), journal::nextSeq, this::claimed, io::log);
-        grants = new Grants(host, io, settings.grantTokens(), programs::tally);
-        Recorder recorder = new Recorder(programs, journal);
+        recorder = new Recorder(programs, journal);
+        grants = new Grants(host, io, settings.grantTokens(), recorder::tally);
         calls = new Calls(host, settings, recorder, grants, contents, io);
         lifecycle = new Lifecycle(settings, recorder, calls, io);
+        replay = new Replay(io, io, contents);
+        Snapshots snapshots = new Snapshots(host, io, programs, journal);
+        slots = new Slots(
+                host,
+                settings,
+                ownership,
+                new Recovery(replay),
+                snapshots,
+                journal,
+                recorder,
+                calls,
+                io,
+                this::recovered);
     }
 
     /**
@@ -88,6 +102,10 @@
             grants.ceiling(e.customer(), e.ceilingTokens());
         } else if (event instanceof Event.SlotMissed e) {
             ownership.miss(e.slot());
+        } else if (event instanceof Event.Draining) {
+            slots.drain();
+        } else if (event instanceof Event.OutcomeFound e) {
+            calls.outcomeFound(e);
         } else {
             ask(event);
         }
@@ -95,7 +113,8 @@
 
     private void ask(Event event) {
         if (event instanceof Event.Submitted e) {
-            where(e.call().id().program(), e.tag(), () -> calls.submit(e.call(), e.tag()));
+            boolean closing = slots.isClosing(e.call().id().program().slot());
+            where(e.call().id().program(), e.tag(), () -> calls.submit(e.call(), e.tag(), closing));
         } else if (event instanceof Event.Created e) {
             where(e.spec().program(), e.tag(), () -> lifecycle.create(e));
         } else if (event instanceof Event.Ended e) {
@@ -123,15 +142,22 @@
             grants.tick(nowMs);
             calls.tick();
             lifecycle.tick();
+            replay.tick(nowMs);
+            slots.tick(nowMs);
         }
     }
 
     private void where(ProgramId program, ReplyTag tag, Runnable here) {
         Slot slot = program.slot();
-        if (owns(slot)) {
+        String damage = slots.damage(slot);
+        if (owns(slot) && damage.isEmpty()) {
             here.run();
             return;
         }
+        if (owns(slot)) {
+            io.emit(new Effect.Reply(tag, Outcome.failed(ErrorCode.DAMAGED, RunState.UNKNOWN, 0, damage)));
+            return;
+        }
         ownership.miss(slot);
         io.emit(new Effect.Reply(
                 tag,
@@ -154,12 +180,20 @@
     }
 
     private void claimed(List<Ownership.Claim> claims) {
-        claims.forEach(c -> active.add(c.slot()));
+        slots.claimed(claims);
+    }
+
+    private void recovered(Recovery.Result result) {
+        Recovery.inDoubt(result.programs()).forEach(calls::resolve);
+        // The owner before may have ended before it told the engines; releasing again does no harm.
+        result.programs().all().stream()
+                .filter(p -> p.endedAtMs() > 0)
+                .forEach(p -> io.emit(new Effect.ReleaseCache(p.id())));
+        result.tallies().forEach((gone, tallies) -> grants.close(new HostId(gone), tallies));
     }
 
     private void depose() {
         deposed = true;
-        active.clear();
         calls.depose();
         lifecycle.depose();
         io.log("lease: " + host + " was sealed and owns nothing any more");
@@ -173,7 +207,7 @@
      * @return true when calls in the slot can be decided here
      */
     public boolean owns(Slot slot) {
-        return !deposed && active.contains(slot);
+        return !deposed && slots.isActive(slot);
     }
 
     /**
--- a/core/src/main/java/org/celerygw/core/ownership/Ownership.java
+++ b/core/src/main/java/org/celerygw/core/ownership/Ownership.java
@@ -402,6 +402,15 @@
                 .toList();
     }
 
+    /**
+     * Returns whether no write of slot rows is under way.
+     *
+     * @return true when the rows are as {@link #owned} says
+     */
+    public boolean isIdle() {
+        return write == null;
+    }
+
     /**
      * Returns whether another host should own a slot of this host.
      *
--- a/core/src/main/java/org/celerygw/core/program/Program.java
+++ b/core/src/main/java/org/celerygw/core/program/Program.java
@@ -136,10 +136,12 @@
             return;
         }
         attempts = Math.max(attempts, started.getAttempt());
-        Started kept = started.toBuilder()
-                .clearBody()
-                .setBodyBytes(started.getBody().size())
-                .build();
+        Started kept = started.getBody().isEmpty()
+                ? started
+                : started.toBuilder()
+                        .clearBody()
+                        .setBodyBytes(started.getBody().size())
+                        .build();
         CallImage image = CallImage.newBuilder().setStarted(kept).build();
         if (started.getNumber() == calls.size()) {
             calls.set(calls.size() - 1, image);
@@ -157,10 +159,12 @@
             calls.remove(calls.size() - 1);
             return;
         }
-        Done kept = done.toBuilder()
-                .clearAnswer()
-                .setAnswerBytes(done.getAnswer().size())
-                .build();
+        Done kept = done.getAnswer().isEmpty()
+                ? done
+                : done.toBuilder()
+                        .clearAnswer()
+                        .setAnswerBytes(done.getAnswer().size())
+                        .build();
         calls.set(calls.size() - 1, last().toBuilder().setDone(kept).build());
     }
 
--- a/core/src/main/java/org/celerygw/core/program/Programs.java
+++ b/core/src/main/java/org/celerygw/core/program/Programs.java
@@ -9,48 +9,34 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.celerygw.core.gen.state.Entry;
-import org.celerygw.core.gen.state.Tally;
-import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.id.ProgramId;
 import org.celerygw.core.id.Slot;
 import org.jspecify.annotations.Nullable;
 
-/** The programs of some slots, and what each customer spent through them since this set was begun. */
+/** The programs of some slots. */
 public final class Programs {
     private final Map<Slot, NavigableMap<ProgramId, Program>> slots = new HashMap<>();
-    private final Map<CustomerId, Long> tallies = new HashMap<>();
     private int count;
 
     /**
      * Applies an entry; one that is already in the state changes nothing.
      *
      * @param entry the entry
+     * @return by how much spent and reserved tokens changed
      */
-    public void apply(Entry entry) {
+    public long apply(Entry entry) {
         ProgramId id = new ProgramId(entry.getProgram());
         Program program = find(id);
-        if (entry.getKindCase() == Entry.KindCase.CREATED) {
-            if (program == null) {
-                put(Program.create(entry));
-            }
-            return;
-        }
-        if (program == null) {
-            return;
-        }
-        if (entry.getKindCase() == Entry.KindCase.REMOVED) {
+        if (entry.getKindCase() == Entry.KindCase.CREATED && program == null) {
+            put(Program.create(entry));
+        } else if (entry.getKindCase() == Entry.KindCase.REMOVED) {
             remove(id);
-            return;
-        }
-        long before = program.committedTokens();
-        program.apply(entry);
-        tally(program.customer(), program.committedTokens() - before);
-    }
-
-    private void tally(CustomerId customer, long tokens) {
-        if (tokens != 0) {
-            tallies.merge(customer, tokens, Long::sum);
+        } else if (program != null) {
+            long before = program.committedTokens();
+            program.apply(entry);
+            return program.committedTokens() - before;
         }
+        return 0;
     }
 
     /**
@@ -156,37 +142,4 @@
     public int size() {
         return count;
     }
-
-    /**
-     * Returns what customers spent and reserved through this set.
-     *
-     * @return a tally for each customer
-     */
-    public List<Tally> tallies() {
-        return tallies.entrySet().stream()
-                .map(e -> Tally.newBuilder()
-                        .setCustomer(e.getKey().value())
-                        .setSpentTokens(e.getValue())
-                        .build())
-                .toList();
-    }
-
-    /**
-     * Adds tallies of an earlier set.
-     *
-     * @param earlier the tallies
-     */
-    public void addTallies(List<Tally> earlier) {
-        earlier.forEach(t -> tally(new CustomerId(t.getCustomer()), t.getSpentTokens()));
-    }
-
-    /**
-     * Returns what a customer spent and reserved through this set.
-     *
-     * @param customer the customer
-     * @return tokens
-     */
-    public long tally(CustomerId customer) {
-        return tallies.getOrDefault(customer, 0L);
-    }
 }
