--- a/core/src/main/java/org/celerygw/core/helper/Check.java
+++ b/core/src/main/java/org/celerygw/core/helper/Check.java
@@ -30,12 +30,19 @@
      */
     public static String name(String text, String field) {
         that(text.length() <= 200 && !text.isEmpty(), field + " must have 1 to 200 characters");
-        boolean plain =
-                text.chars().allMatch(c -> c < 128 && (Character.isLetterOrDigit(c) || "._:@/-".indexOf(c) >= 0));
+        boolean plain = true;
+        for (int i = 0; i < text.length() && plain; i++) {
+            plain = isPlain(text.charAt(i));
+        }
         that(plain, field + " may hold letters, digits and . _ : @ / - only");
         return text;
     }
 
+    private static boolean isPlain(char c) {
+        boolean letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return letter || (c >= '0' && c <= '9') || "._:@/-".indexOf(c) >= 0;
+    }
+
     /**
      * Returns the number when it is not negative.
      *
--- a/core/src/main/java/org/celerygw/core/journal/Keys.java
+++ b/core/src/main/java/org/celerygw/core/journal/Keys.java
@@ -12,6 +12,9 @@
     /** Begins the keys of all slot rows. */
     public static final String SLOTS = "slot/";
 
+    private static final int BATCH_DIGITS = 12;
+    private static final int SLOT_DIGITS = 4;
+
     private Keys() {}
 
     /**
@@ -32,7 +35,7 @@
      * @return the key; keys sort as the numbers do
      */
     public static String batch(String host, long seq) {
-        return "journal/" + host + "/" + String.format(java.util.Locale.ROOT, "%012d", seq);
+        return "journal/" + host + "/" + padded(seq, BATCH_DIGITS);
     }
 
     /**
@@ -42,7 +45,12 @@
      * @return the key; keys sort as the numbers do
      */
     public static String slot(Slot slot) {
-        return SLOTS + String.format(java.util.Locale.ROOT, "%04d", slot.number());
+        return SLOTS + padded(slot.number(), SLOT_DIGITS);
+    }
+
+    private static String padded(long number, int digits) {
+        String plain = Long.toString(number);
+        return "0".repeat(Math.max(0, digits - plain.length())) + plain;
     }
 
     /**
--- a/core/src/main/java/org/celerygw/core/owner/Slots.java
+++ b/core/src/main/java/org/celerygw/core/owner/Slots.java
@@ -1,13 +1,13 @@
 package org.celerygw.core.owner;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.celerygw.core.gen.state.Link;
 import org.celerygw.core.gen.state.SlotRow;
@@ -23,6 +23,7 @@
 final class Slots {
     private static final int MOVE_ROWS = 256;
     private static final long SNAPSHOT_MS = 5_000;
+    private static final long MOVE_MS = 200;
     private static final long MOVE_DELAY_MS = 1_500;
     private static final long MOVE_PATIENCE_MS = 10_000;
 
@@ -37,17 +38,18 @@
     private final Io io;
     private final Consumer<Recovery.Result> recovered;
     private final Set<Slot> active = new HashSet<>();
-    private final Set<Slot> held = new TreeSet<>();
-    private final Map<Slot, Long> leavingSinceMs = new TreeMap<>();
+    private final Set<Slot> held = new HashSet<>();
+    private final Map<Slot, Long> leavingSinceMs = new HashMap<>();
     private final Map<Slot, String> damaged = new TreeMap<>();
     private final Set<Slot> toAdopt = new LinkedHashSet<>();
+    private final Set<Slot> adopting = new HashSet<>();
     private @Nullable Runnable retryRelease;
     private boolean draining;
     private boolean drained;
     private boolean snapshotting;
     private boolean moving;
-    private boolean adopting;
     private long snapshotAtMs = Long.MIN_VALUE / 2;
+    private long moveAtMs;
     private long nowMs;
 
     Slots(
@@ -133,6 +135,10 @@
         if (release != null) {
             release.run();
         }
+        if (nowMs < moveAtMs) {
+            return;
+        }
+        moveAtMs = nowMs + MOVE_MS;
         move();
         if (draining && !drained && ownership.owned().isEmpty() && ownership.isIdle()) {
             drained = true;
@@ -143,7 +149,7 @@
     private void snapshot() {
         boolean full = recorder.sinceSnapshot() >= settings.snapshotRecords();
         boolean due = full || !toAdopt.isEmpty();
-        if (snapshotting || adopting || !due || nowMs - snapshotAtMs < SNAPSHOT_MS) {
+        if (snapshotting || !adopting.isEmpty() || !due || nowMs - snapshotAtMs < SNAPSHOT_MS) {
             return;
         }
         snapshotting = true;
@@ -165,38 +171,42 @@
 
     private void pointed(List<Slot> adopted) {
         snapshotting = false;
-        adopting = !adopted.isEmpty();
+        adopting.addAll(adopted);
+        toAdopt.removeAll(adopted);
         io.log("journal: snapshot up to batch " + journal.seq());
     }
 
     /** Drops the chains of slots that a snapshot of this journal covers. */
     private void adopt() {
-        if (!adopting || snapshotting) {
+        if (adopting.isEmpty() || snapshotting) {
             return;
         }
         List<Ownership.Claim> rows = ownership.owned().stream()
-                .filter(c -> toAdopt.contains(c.slot()) && c.row().getChainCount() > 0)
+                .filter(c -> adopting.contains(c.slot()) && c.row().getChainCount() > 0)
                 .limit(MOVE_ROWS)
                 .map(c -> new Ownership.Claim(
                         c.slot(), c.row().toBuilder().clearChain().build()))
                 .toList();
         if (rows.isEmpty()) {
-            adopting = false;
-            toAdopt.clear();
+            adopting.clear();
             return;
         }
-        ownership.rewrite(rows, landed -> landed.forEach(c -> toAdopt.remove(c.slot())));
+        ownership.rewrite(rows, landed -> landed.forEach(c -> adopting.remove(c.slot())));
     }
 
     private void move() {
-        ownership.owned().forEach(c -> note(c.slot()));
+        if (ownership.settled() && leavingSinceMs.isEmpty()) {
+            return;
+        }
+        List<Ownership.Claim> owned = ownership.owned();
+        owned.forEach(c -> note(c.slot()));
         if (moving || leavingSinceMs.isEmpty()) {
             return;
         }
         Set<Slot> busy = calls.busySlots();
-        List<Ownership.Claim> quiet = ownership.owned().stream()
-                .filter(c -> active.contains(c.slot()) && !busy.contains(c.slot()))
-                .filter(c -> !damaged.containsKey(c.slot()) && isRipe(c.slot()))
+        List<Ownership.Claim> quiet = owned.stream()
+                .filter(c -> isRipe(c.slot()) && active.contains(c.slot()))
+                .filter(c -> !busy.contains(c.slot()))
                 .limit(MOVE_ROWS)
                 .toList();
         if (quiet.isEmpty()) {
@@ -225,7 +235,10 @@
         List<Ownership.Claim> rows = new ArrayList<>();
         quiet.forEach(c -> {
             SlotRow.Builder row = SlotRow.newBuilder().setEpoch(c.row().getEpoch() + 1);
-            if (!programs.in(c.slot()).isEmpty()) {
+            if (damaged.containsKey(c.slot())) {
+                // Nothing was added to it here; who owns it next finds the same, or what was repaired.
+                row.addAllChain(c.row().getChainList());
+            } else if (!programs.in(c.slot()).isEmpty()) {
                 row.addChain(Link.newBuilder()
                         .setHost(host.value())
                         .setFromSeq(c.row().getFromSeq())
@@ -245,7 +258,9 @@
             recorder.programs().drop(c.slot());
             held.remove(c.slot());
             leavingSinceMs.remove(c.slot());
+            damaged.remove(c.slot());
             toAdopt.remove(c.slot());
+            adopting.remove(c.slot());
         });
         io.log("owner: handed over " + rows.size() + " slots");
     }
--- a/core/src/main/java/org/celerygw/core/ownership/Ownership.java
+++ b/core/src/main/java/org/celerygw/core/ownership/Ownership.java
@@ -27,6 +27,8 @@
 
 /** Claims and releases slots by conditional writes, and seals the journals of hosts whose lease lapsed. */
 public final class Ownership {
+    private static final List<Slot> ALL =
+            IntStream.range(0, Slot.COUNT).mapToObj(Slot::new).toList();
     private static final int CLAIM_ROWS = 256;
     private static final int SCAN_ROWS = 1024;
     private static final int POLL_ROWS = 512;
@@ -42,6 +44,8 @@
     private final Consumer<String> log;
     private final Leases leases;
     private final Known[] known = new Known[Slot.COUNT];
+    private @Nullable List<Slot> lacking;
+    private @Nullable Boolean settled;
     private final Map<Slot, SlotRow> mine = new TreeMap<>();
     private final Set<Slot> missed = new TreeSet<>();
     private SortedSet<HostId> hosts = new TreeSet<>();
@@ -118,6 +122,7 @@
     /** Takes no further slot from now on. */
     public void drain() {
         draining = true;
+        settled = null;
     }
 
     /**
@@ -157,11 +162,19 @@
         }
         candidates = now;
         Rendezvous rendezvous = new Rendezvous(now);
-        slots().forEach(s -> wanted[s.number()] = rendezvous.ownerOf(s).orElse(host));
+        ALL.forEach(s -> wanted[s.number()] = rendezvous.ownerOf(s).orElse(host));
+        lacking = null;
+        settled = null;
     }
 
-    private static Stream<Slot> slots() {
-        return IntStream.range(0, Slot.COUNT).mapToObj(Slot::new);
+    /** Returns the slots that this host should own but does not. */
+    private List<Slot> lacking() {
+        List<Slot> known = lacking;
+        if (known == null) {
+            known = ALL.stream().filter(this::isWanted).toList();
+            lacking = known;
+        }
+        return known;
     }
 
     private void scanHeads() {
@@ -266,7 +279,7 @@
     }
 
     private void claim() {
-        List<Claim> claims = slots().filter(this::isWanted)
+        List<Claim> claims = lacking().stream()
                 .filter(this::isFree)
                 .limit(CLAIM_ROWS)
                 .map(s -> new Claim(s, claimRow(at(s).row())))
@@ -283,7 +296,7 @@
                 .setFromSeq(nextSeq.getAsLong())
                 .addAllChain(before.getChainList());
         leases.sealed(before.getOwner())
-                .filter(s -> s.head().getSeq() >= before.getFromSeq())
+                .filter(s -> s.head().hasSnapshot() || s.head().getSeq() >= before.getFromSeq())
                 .ifPresent(s -> row.addChain(Link.newBuilder()
                         .setHost(before.getOwner())
                         .setFromSeq(before.getFromSeq())
@@ -293,6 +306,8 @@
 
     private void own(List<Claim> claims) {
         claims.forEach(c -> mine.put(c.slot(), c.row()));
+        lacking = null;
+        settled = null;
         log.accept("owner: claimed " + claims.size() + " slots");
         claimed.accept(claims);
     }
@@ -347,7 +362,7 @@
         if (polling || !slotsRead || nowMs - pollAtMs < POLL_MS) {
             return;
         }
-        Stream<Slot> waiting = draining ? Stream.empty() : slots().filter(s -> isWanted(s) && !isFree(s));
+        Stream<Slot> waiting = draining ? Stream.empty() : lacking().stream().filter(s -> !isFree(s));
         List<String> keys = Stream.concat(missed.stream(), waiting)
                 .distinct()
                 .limit(POLL_ROWS)
@@ -388,6 +403,8 @@
             mine.put(claim.slot(), claim.row());
         } else {
             mine.remove(claim.slot());
+            lacking = null;
+            settled = null;
         }
     }
 
@@ -402,6 +419,20 @@
                 .toList();
     }
 
+    /**
+     * Returns whether this host owns no slot that another should own.
+     *
+     * @return true when nothing has to move
+     */
+    public boolean settled() {
+        Boolean known = settled;
+        if (known == null) {
+            known = mine.keySet().stream().noneMatch(this::shouldMove);
+            settled = known;
+        }
+        return known;
+    }
+
     /**
      * Returns whether no write of slot rows is under way.
      *
--- a/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
+++ b/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
@@ -163,6 +163,9 @@
     }
 
     private WorldHost anyHost() {
+        if (world.live().isEmpty()) {
+            world.startHost();
+        }
         return world.live().get(random.nextInt(world.live().size()));
     }
 
