--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -463,7 +463,7 @@
 
             @Override
             public boolean handedOver() {
-                return owner.slotsOwned() == 0;
+                return owner.isDrained();
             }
 
             @Override
--- a/daemon/src/main/java/org/celerygw/daemon/peer/PeerCall.java
+++ b/daemon/src/main/java/org/celerygw/daemon/peer/PeerCall.java
@@ -39,6 +39,10 @@
 
     /** Ends the call: the peer is told, and the listener fails with CANCELLED unless the call has ended already. */
     public void cancel() {
+        // Once the links are closed every call has failed already, and their loops take no more work.
+        if (loop.isShuttingDown()) {
+            return;
+        }
         loop.execute(() -> link.abandon(this, ErrorCode.CANCELLED, "the caller cancelled"));
     }
 
