--- a/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
@@ -66,8 +66,7 @@
     }
 
     @Override
-    public void dispatch(
-            Effect.Dispatch dispatch, BiConsumer<Long, ByteString> stream, Consumer<Event.Finished> done) {
+    public void dispatch(Effect.Dispatch dispatch, BiConsumer<Long, ByteString> stream, Consumer<Event.Finished> done) {
         if (dispatch.call().kind() == CallKind.MODEL) {
             models.dispatch(dispatch, stream, done);
         } else {
@@ -119,8 +118,7 @@
      * @param mine tells whether this host answers for a program
      * @param alive tells whether such a program is alive
      */
-    public void sweep(
-            java.util.function.Predicate<ProgramId> mine, java.util.function.Predicate<ProgramId> alive) {
+    public void sweep(java.util.function.Predicate<ProgramId> mine, java.util.function.Predicate<ProgramId> alive) {
         watch.sweep(mine, alive);
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/send/EngineTable.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/EngineTable.java
@@ -15,8 +15,8 @@
 
     void configure(Configuration configuration) {
         engines = configuration.getBackendsList().stream()
-                .collect(Collectors.toMap(
-                        b -> new BackendServerId(b.getId()), b -> b, (a, b) -> b, LinkedHashMap::new));
+                .collect(
+                        Collectors.toMap(b -> new BackendServerId(b.getId()), b -> b, (a, b) -> b, LinkedHashMap::new));
     }
 
     Map<BackendServerId, BackendServer> all() {
--- a/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
@@ -25,10 +25,17 @@
 
     void pollLoad() {
         engines.all().forEach((id, server) -> parts.backends()
-                .load(EngineTable.address(server), report -> report.ifPresent(r -> parts.dispatcher()
-                        .loadReport(
-                                id,
-                                new LoadReport(parts.clock().nowMs(), r.running(), r.waiting(), r.waitingTokens(), 0)))));
+                .load(
+                        EngineTable.address(server),
+                        report -> report.ifPresent(r -> parts.dispatcher()
+                                .loadReport(
+                                        id,
+                                        new LoadReport(
+                                                parts.clock().nowMs(),
+                                                r.running(),
+                                                r.waiting(),
+                                                r.waitingTokens(),
+                                                0)))));
     }
 
     void pollCache() {
@@ -61,12 +68,12 @@
 
     void sweep(Predicate<ProgramId> mine, Predicate<ProgramId> alive) {
         engines.all().forEach((id, server) -> parts.backends()
-                .heldPrograms(EngineTable.address(server), held -> held.ifPresent(names -> sweep(id, names, mine, alive))));
+                .heldPrograms(
+                        EngineTable.address(server), held -> held.ifPresent(names -> sweep(id, names, mine, alive))));
     }
 
     private void sweep(BackendServerId id, Set<String> names, Predicate<ProgramId> mine, Predicate<ProgramId> alive) {
-        Set<ProgramId> held =
-                names.stream().map(ProgramId::new).filter(mine).collect(Collectors.toSet());
+        Set<ProgramId> held = names.stream().map(ProgramId::new).filter(mine).collect(Collectors.toSet());
         parts.dispatcher().sweep(id, held, alive, parts.clock().nowMs());
     }
 }
--- a/daemon/src/main/java/org/celerygw/daemon/send/ModelSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/ModelSender.java
@@ -126,7 +126,9 @@
                 parts.dispatcher().offer(item(flight), parts.clock().nowMs());
         if (!admission.accepted()) {
             note(admission.line());
-            finish(flight, failed(admission.refusal(), admission.retryAfterMs(), "The call was refused before it ran."));
+            finish(
+                    flight,
+                    failed(admission.refusal(), admission.retryAfterMs(), "The call was refused before it ran."));
             return;
         }
         byTicket.put(flight.ticket, flight);
@@ -215,10 +217,12 @@
         boolean answered = outcome.isAnswer() && outcome.status() < 500;
         // A cancelled call says nothing about its engine's health.
         boolean healthy = answered || flight.cancelled;
-        boolean again =
-                parts.dispatcher().ended(flight.ticket, healthy, outcome.outputTokens(), nowMs);
+        boolean again = parts.dispatcher().ended(flight.ticket, healthy, outcome.outputTokens(), nowMs);
         byTicket.remove(flight.ticket);
-        if (again && flight.tries < MAX_TRIES && !flight.cancelled && nowMs < flight.dispatch.call().deadlineMs()) {
+        if (again
+                && flight.tries < MAX_TRIES
+                && !flight.cancelled
+                && nowMs < flight.dispatch.call().deadlineMs()) {
             note("retry: call " + flight.dispatch.call().id() + " after a failure at engine " + flight.engine + ".");
             offer(flight);
         } else {
@@ -230,8 +234,8 @@
     private void finish(Flight flight, Outcome outcome) {
         byTicket.remove(flight.ticket);
         byCall.remove(flight.dispatch.call().id(), flight);
-        flight.done.accept(new Event.Finished(
-                flight.dispatch.call().id(), flight.dispatch.attempt(), outcome, flight.engine));
+        flight.done.accept(
+                new Event.Finished(flight.dispatch.call().id(), flight.dispatch.attempt(), outcome, flight.engine));
     }
 
     private void note(String line) {
@@ -258,8 +262,7 @@
         private int tries;
         private boolean cancelled;
 
-        private Flight(
-                Effect.Dispatch dispatch, BiConsumer<Long, ByteString> stream, Consumer<Event.Finished> done) {
+        private Flight(Effect.Dispatch dispatch, BiConsumer<Long, ByteString> stream, Consumer<Event.Finished> done) {
             this.dispatch = dispatch;
             this.stream = stream;
             this.done = done;
--- a/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
@@ -95,8 +95,14 @@
         CallRequest call = flight.call();
         long leftMs = call.deadlineMs() - parts.clock().nowMs();
         if (leftMs <= 0) {
-            ended(gate, flight, Outcome.failed(
-                    ErrorCode.DEADLINE_EXCEEDED, RunState.NOT_RUN, 0, "The deadline passed before it was sent."));
+            ended(
+                    gate,
+                    flight,
+                    Outcome.failed(
+                            ErrorCode.DEADLINE_EXCEEDED,
+                            RunState.NOT_RUN,
+                            0,
+                            "The deadline passed before it was sent."));
             return;
         }
         Service service = gate.service;
