--- a/cli/src/main/java/org/celerygw/cli/Tools.java
+++ b/cli/src/main/java/org/celerygw/cli/Tools.java
@@ -12,6 +12,7 @@
 
     static {
         ALL.put("standin", new Tool("run stand-ins for the platform, engines and tool services", StandinTool::run));
+        ALL.put("bench", new Tool("measure what a daemon adds to a call", BenchTool::run));
         ALL.put("demo", new Tool("run the whole system in one process and kill a daemon", DemoTool::run));
     }
 
--- a/cli/src/main/java/org/celerygw/cli/bench/BenchOptions.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/BenchOptions.java
@@ -98,4 +98,27 @@
                 promptChars,
                 outputTokens);
     }
+
+    /**
+     * Returns the same options for another number of calls.
+     *
+     * @param newCalls calls of each worker that are counted
+     * @return the options
+     */
+    public BenchOptions counting(int newCalls) {
+        return new BenchOptions(
+                gateway,
+                callerKey,
+                direct,
+                target,
+                tool,
+                repeatable,
+                compare,
+                workers,
+                warmupCalls,
+                newCalls,
+                limitMs,
+                promptChars,
+                outputTokens);
+    }
 }
--- a/cli/src/main/java/org/celerygw/cli/bench/Worker.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/Worker.java
@@ -1,6 +1,7 @@
 package org.celerygw.cli.bench;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
@@ -20,6 +21,7 @@
     private final Side gateway = new Side();
     private final Side direct = new Side();
     private final long endNs;
+    private final Promise<Void> done = Promise.promise();
     private String program = "";
     private int sent;
     private long countedFromNs;
@@ -46,11 +48,18 @@
 
     /** Sends all calls; the future never fails. */
     Future<Void> run() {
+        next();
+        return done.future();
+    }
+
+    /** Begins the next turn from a callback: chained futures would nest as deep as there are calls. */
+    private void next() {
         if (sent >= options.warmupCalls() + options.calls() || System.nanoTime() >= endNs) {
-            return Future.succeededFuture();
+            done.tryComplete();
+            return;
         }
         Future<Void> ready = sent % CALLS_A_PROGRAM == 0 ? create() : Future.succeededFuture();
-        return ready.compose(v -> turn()).compose(v -> run());
+        ready.compose(v -> turn()).onComplete(v -> next());
     }
 
     private Future<Void> turn() {
--- a/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
@@ -67,8 +67,20 @@
      * @return the deployment, once every daemon is ready
      */
     public static LocalDeployment start(int daemonCount, int engineCount, String extraSettings) {
+        return start(daemonCount, StandinOptions.anyPorts(engineCount), extraSettings);
+    }
+
+    /**
+     * Starts stand-ins and daemons and accepts a first configuration.
+     *
+     * @param daemonCount how many daemons
+     * @param standins which stand-ins
+     * @param extraSettings lines added to each daemon's settings, for example a section of its own
+     * @return the deployment, once every daemon is ready
+     */
+    public static LocalDeployment start(int daemonCount, StandinOptions standins, String extraSettings) {
         Vertx vertx = Vertx.vertx();
-        Standin standin = await(Standin.start(vertx, StandinOptions.anyPorts(engineCount)));
+        Standin standin = await(Standin.start(vertx, standins));
         LocalDeployment deployment = new LocalDeployment(vertx, standin, daemonCount, extraSettings);
         IntStream.range(0, daemonCount).forEach(deployment::startDaemon);
         deployment.accept(DemoConfig.of(standin), 0);
@@ -233,9 +245,7 @@
     }
 
     private String settings(int index) {
-        String seeds = gossipPorts.stream()
-                .map(p -> "127.0.0.1:" + p)
-                .collect(Collectors.joining(", "));
+        String seeds = gossipPorts.stream().map(p -> "127.0.0.1:" + p).collect(Collectors.joining(", "));
         String hash = Hashing.sha256()
                 .hashString(OPERATOR_KEY, StandardCharsets.UTF_8)
                 .toString();
