--- a/cli/src/main/java/org/celerygw/cli/BenchTool.java
+++ b/cli/src/main/java/org/celerygw/cli/BenchTool.java
@@ -61,7 +61,7 @@
     private static BenchOptions sized(BenchOptions options, Namespace parsed) {
         int workers = parsed.getInt("workers");
         int calls = parsed.getInt("calls");
-        return workers > 1 ? options.throughput(workers, calls) : options.counting(calls);
+        return workers > 1 ? options.throughput(workers, calls) : options.counting(calls, parsed.getLong("pause_ms"));
     }
 
     private static ArgumentParser parser() {
@@ -75,7 +75,11 @@
                 .type(Integer.class)
                 .setDefault(1)
                 .help("callers at once; with more than one all calls go through the daemon");
-        parser.addArgument("--calls").type(Integer.class).setDefault(2_000).help("calls of each caller that count");
+        parser.addArgument("--calls").type(Integer.class).setDefault(500).help("calls of each caller that count");
+        parser.addArgument("--pause-ms")
+                .type(Long.class)
+                .setDefault(50L)
+                .help("a single caller's pause before each call");
         parser.addArgument("--gateway").metavar("URI").help("a daemon's address for callers");
         parser.addArgument("--key").metavar("KEY").setDefault("").help("the caller key for that daemon");
         parser.addArgument("--direct").metavar("URI").help("the engine or service that the daemon sends to");
--- a/cli/src/main/java/org/celerygw/cli/bench/GatewayBench.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/GatewayBench.java
@@ -36,7 +36,7 @@
         String run = "bench-" + Long.toString(System.currentTimeMillis(), 36);
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(options.limitMs());
         List<Worker> workers = IntStream.range(0, options.workers())
-                .mapToObj(i -> new Worker(options, http, run + "-" + i, endNs))
+                .mapToObj(i -> new Worker(vertx, options, http, run + "-" + i, endNs))
                 .toList();
         return Future.join(workers.stream().map(Worker::run).toList())
                 .map(v -> result(workers))
--- a/cli/src/main/java/org/celerygw/cli/bench/Worker.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/Worker.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
@@ -9,6 +10,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.net.URI;
+import java.util.concurrent.TimeUnit;
 
 /** One caller: sends calls one after the other, each through the daemon and, when compared, also directly. */
 final class Worker {
@@ -16,6 +18,7 @@
     private static final long BUDGET_TOKENS = 100_000_000;
 
     private final BenchOptions options;
+    private final Vertx vertx;
     private final HttpClient http;
     private final String name;
     private final Side gateway = new Side();
@@ -26,8 +29,9 @@
     private int sent;
     private long countedFromNs;
 
-    Worker(BenchOptions options, HttpClient http, String name, long endNs) {
+    Worker(Vertx vertx, BenchOptions options, HttpClient http, String name, long endNs) {
         this.options = options;
+        this.vertx = vertx;
         this.http = http;
         this.name = name;
         this.endNs = endNs;
@@ -59,7 +63,14 @@
             return;
         }
         Future<Void> ready = sent % CALLS_A_PROGRAM == 0 ? create() : Future.succeededFuture();
-        ready.compose(v -> turn()).onComplete(v -> next());
+        ready.compose(v -> pause()).compose(v -> turn()).onComplete(v -> next());
+    }
+
+    private Future<Void> pause() {
+        boolean counts = sent >= options.warmupCalls();
+        return counts && options.pauseMs() > 0
+                ? vertx.timer(options.pauseMs(), TimeUnit.MILLISECONDS).mapEmpty()
+                : Future.succeededFuture();
     }
 
     private Future<Void> turn() {
