--- a/core/src/main/java/org/celerygw/core/owner/Owner.java
+++ b/core/src/main/java/org/celerygw/core/owner/Owner.java
@@ -65,9 +65,17 @@
         calls.at(nowMs);
         lifecycle.at(nowMs);
         dispatch(event, nowMs);
+        writeWhenDue(nowMs);
         return io.take();
     }
 
+    /** Begins a write with the event that made it due, rather than at the next tick. */
+    private void writeWhenDue(long nowMs) {
+        if (begun && !deposed) {
+            journal.tick(nowMs);
+        }
+    }
+
     private void dispatch(Event event, long nowMs) {
         if (event instanceof Event.Tick) {
             tick(nowMs);
