--- a/core/src/main/java/org/celerygw/core/journal/Journal.java
+++ b/core/src/main/java/org/celerygw/core/journal/Journal.java
@@ -29,6 +29,9 @@
     /** Table writes a second that all journals of the fleet may use together. */
     static final long FLEET_WRITES_PER_S = 250;
 
+    /** Writes that may follow each other at once after a quiet time; on average the interval holds. */
+    private static final int BURST_WRITES = 4;
+
     private static final long RETRY_FIRST_MS = 20;
     private static final long RETRY_LONGEST_MS = 500;
 
@@ -51,6 +54,7 @@
     private boolean stopped;
     private int owners = 1;
     private long lastStartMs = Long.MIN_VALUE / 2;
+    private long paidUntilMs = Long.MIN_VALUE / 2;
     private @Nullable Flight flight;
 
     /**
@@ -73,7 +77,7 @@
     /**
      * When a journal writes.
      *
-     * @param commitIntervalMs the least time between two writes
+     * @param commitIntervalMs the least time between two writes, on average
      * @param batchRecords the most entries in a write
      * @param heartbeatMs the longest time without a write
      * @param inlineBytes a batch larger than this goes to an object
@@ -172,7 +176,12 @@
         if (!opened || waitedMs >= pace.heartbeatMs()) {
             return true;
         }
-        return waitedMs >= intervalMs() && (!queue.isEmpty() || headDirty);
+        return hasCredit(nowMs) && (!queue.isEmpty() || headDirty);
+    }
+
+    /** Each write pays for one interval; a journal may be in debt for as many as a burst has. */
+    private boolean hasCredit(long nowMs) {
+        return paidUntilMs - nowMs <= (BURST_WRITES - 1) * intervalMs();
     }
 
     /**
@@ -186,6 +195,7 @@
 
     private void takeOff(long nowMs) {
         lastStartMs = nowMs;
+        paidUntilMs = Math.max(paidUntilMs, nowMs) + intervalMs();
         headDirty = false;
         List<Waiting> entries = new ArrayList<>();
         while (opened && !queue.isEmpty() && entries.size() < pace.batchRecords()) {
