--- a/cli/src/main/java/org/celerygw/cli/ConfigCommands.java
+++ b/cli/src/main/java/org/celerygw/cli/ConfigCommands.java
@@ -1,6 +1,5 @@
 package org.celerygw.cli;
 
-import com.google.protobuf.Message;
 import java.util.List;
 import java.util.Optional;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -171,15 +170,15 @@
     static int accepted(Session session, long seen, AcceptConfigReply reply) {
         if (reply.getConflict()) {
             ConfigReply theirs = reply.getTheirs();
+            long inForce = Math.max(reply.getVersion(), theirs.getVersion());
             String by = theirs.getActor().isEmpty() ? "" : " by " + theirs.getActor();
             throw new GatewayException(
                     ErrorCode.CONFLICT,
-                    "you saw version " + seen + ", but version " + reply.getVersion() + by
-                            + " is in force; look at 'celerygw config diff " + seen + " " + reply.getVersion()
+                    "you saw version " + seen + ", but version " + inForce + by
+                            + " is in force; look at 'celerygw config diff " + seen + " " + inForce
                             + "' and propose again");
         }
-        Message shown = reply;
-        session.output().result(shown, "configuration version " + reply.getVersion() + " is accepted.");
+        session.output().result(reply, "configuration version " + reply.getVersion() + " is accepted.");
         return 0;
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/operator/OperatorServer.java
@@ -1,5 +1,6 @@
 package org.celerygw.daemon.operator;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -10,6 +11,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.celerygw.api.gen.operator.AcceptConfigReply;
 import org.celerygw.api.gen.operator.Action;
 import org.celerygw.api.gen.operator.OperatorGrpcService;
 import org.celerygw.api.gen.operator.WatchEvent;
@@ -122,7 +124,7 @@
         return limited(control.record(asked), RunState.NOT_RUN)
                 .recover(e -> Future.failedFuture(notRecorded()))
                 .compose(v -> limited(rpc.run().apply(actor, message), RunState.UNKNOWN))
-                .onComplete(done -> recordResult(asked, done.succeeded() ? "done" : codeOf(done.cause())));
+                .onComplete(done -> recordResult(asked, resultOf(done)));
     }
 
     private void recordResult(Action asked, String result) {
@@ -170,8 +172,12 @@
                 "the action cannot be recorded, so it did not run");
     }
 
-    private static String codeOf(Throwable cause) {
-        return Status.typed(cause, RunState.UNKNOWN).code().name();
+    private static String resultOf(AsyncResult<?> done) {
+        if (done.failed()) {
+            return Status.typed(done.cause(), RunState.UNKNOWN).code().name();
+        }
+        boolean conflict = done.result() instanceof AcceptConfigReply reply && reply.getConflict();
+        return conflict ? ErrorCode.CONFLICT.name() : "done";
     }
 
     private static <T> Future<T> limited(Future<T> future, RunState afterLimit) {
--- a/daemon/src/test/java/org/celerygw/daemon/operator/OperatorServerTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/operator/OperatorServerTest.java
@@ -151,6 +151,9 @@
         assertEquals(replies.stream().filter(AcceptConfigReply::getConflict).count(), 1);
         assertEquals(loser.getTheirs().getVersion(), 8);
         assertEquals(loser.getTheirs().getActor(), "olga");
+        assertEquals(
+                control.actions.stream().map(Action::getResult).sorted().toList(),
+                List.of("CONFLICT", "asked", "asked", "done"));
     }
 
     @Test
