--- a/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
@@ -29,7 +29,7 @@
     private final AnswerReader reader;
     private final long timer;
     private final long watch;
-    private Attempt attempt = new Attempt();
+    private Attempt attempt;
     private int resumes;
     private boolean sent;
     private boolean ended;
@@ -40,6 +40,7 @@
         this.request = request;
         this.listener = listener;
         this.reader = new AnswerReader(connections.settings().maxAnswerBytes());
+        this.attempt = new Attempt();
         this.timer = vertx.setTimer(request.timeoutMs(), id -> stop(ErrorCode.DEADLINE_EXCEEDED, "the time was up"));
         this.watch = vertx.setPeriodic(Math.max(1, connections.settings().silenceMs() / 4), id -> watch());
     }
