--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -207,7 +207,9 @@
         Responder answer = new HttpResponder(c.response(), stream, resumeBytes(request));
         Responder responder = new MeteredResponder(answer, parts.metrics(), parts.clock(), call.kind());
         Runnable gone = parts.programs().submit(call, responder);
-        c.response().closeHandler(v -> gone.run());
+        if (!c.response().ended()) { // a refusal may have been written already
+            c.response().closeHandler(v -> gone.run());
+        }
     }
 
     private static long resumeBytes(HttpServerRequest request) {
