--- a/core/src/main/java/org/celerygw/core/membership/Digest.java
+++ b/core/src/main/java/org/celerygw/core/membership/Digest.java
@@ -22,9 +22,9 @@
     private Digest() {}
 
     /** The hashes of all present members, this one included, and of the kept facts. */
-    static List<Integer> of(List<MemberRecord> members, FactTable facts) {
+    static List<Integer> of(List<Item> members, FactTable facts) {
         int[] sums = new int[BUCKETS];
-        members.forEach(m -> sums[bucket(m.getHost())] += hash(m));
+        members.forEach(m -> sums[m.bucket()] += m.hash());
         facts.kept().forEach(f -> sums[bucket(f.getSubject())] += FactTable.hash(f));
         List<Integer> buckets = new ArrayList<>(BUCKETS);
         for (int sum : sums) {
@@ -36,7 +36,7 @@
     /** Adds the records of differing buckets, from a given bucket on, until the room is used. */
     static boolean difference(
             Packet.Builder packet,
-            List<MemberRecord> members,
+            List<Item> members,
             FactTable facts,
             List<Integer> theirs,
             int firstBucket,
@@ -50,8 +50,8 @@
             int bucket = (firstBucket + i) % BUCKETS;
             if (!ours.get(bucket).equals(theirs.get(bucket))) {
                 members.stream()
-                        .filter(m -> bucket(m.getHost()) == bucket)
-                        .forEach(m -> fit(m.getSerializedSize(), room, m, packet::addMembers));
+                        .filter(m -> m.bucket() == bucket)
+                        .forEach(m -> fit(m.record().getSerializedSize(), room, m.record(), packet::addMembers));
                 facts.kept().stream()
                         .filter(f -> bucket(f.getSubject()) == bucket)
                         .forEach(f -> fit(f.getSerializedSize(), room, f, (FactRecord r) -> packet.addFacts(r)));
@@ -60,6 +60,19 @@
         return packet.getMembersCount() + packet.getFactsCount() > 0;
     }
 
+    /**
+     * One present member in the digest.
+     *
+     * @param bucket its bucket
+     * @param hash of what members must agree on
+     * @param record what travels when they do not
+     */
+    record Item(int bucket, int hash, MemberRecord record) {
+        static Item of(MemberRecord record) {
+            return new Item(Digest.bucket(record.getHost()), Digest.hash(record), record);
+        }
+    }
+
     private static <T> void fit(int bytes, int[] room, T record, Consumer<T> add) {
         if (bytes + FIELD_BYTES <= room[0]) {
             add.accept(record);
--- a/core/src/main/java/org/celerygw/core/membership/Membership.java
+++ b/core/src/main/java/org/celerygw/core/membership/Membership.java
@@ -504,7 +504,7 @@
         table.pick(1, random, e -> true)
                 .forEach(e -> send(
                         e.member.gossip(),
-                        packet(PacketKind.SYNC_REQ, step).addAllBuckets(Digest.of(presentRecords(), facts)),
+                        packet(PacketKind.SYNC_REQ, step).addAllBuckets(Digest.of(presentItems(), facts)),
                         step));
     }
 
@@ -512,7 +512,7 @@
         Packet.Builder packet = packet(PacketKind.SYNC, step);
         int room = room(settings.maxDatagramBytes());
         boolean differs =
-                Digest.difference(packet, presentRecords(), facts, theirs, random.nextInt(Digest.BUCKETS), room);
+                Digest.difference(packet, presentItems(), facts, theirs, random.nextInt(Digest.BUCKETS), room);
         if (differs) {
             nextSyncMs = Math.min(nextSyncMs, step.nowMs + BEHIND_SYNC_MS);
             send(to, packet, step);
@@ -574,8 +574,9 @@
         return Records.alive(self, incarnation);
     }
 
-    private List<MemberRecord> presentRecords() {
-        return Stream.concat(Stream.of(selfRecord()), table.present().map(e -> Records.alive(e.member, e.incarnation)))
+    private List<Digest.Item> presentItems() {
+        return Stream.concat(
+                        Stream.of(Digest.Item.of(selfRecord())), table.present().map(Entry::item))
                 .toList();
     }
 
