--- a/core/src/main/java/org/celerygw/core/membership/BroadcastQueue.java
+++ b/core/src/main/java/org/celerygw/core/membership/BroadcastQueue.java
@@ -8,12 +8,15 @@
 import org.celerygw.core.gen.fleet.FactRecordKind;
 import org.celerygw.core.gen.fleet.MemberRecord;
 import org.celerygw.core.gen.fleet.Packet;
+import org.celerygw.core.gen.fleet.RecordState;
 import org.jspecify.annotations.Nullable;
 
 /** Records that still have to be passed on, each a bounded number of times, the least sent first. */
 final class BroadcastQueue {
     /** An urgent record is pushed at once to some members in this many rounds. */
     private static final int PUSH_ROUNDS = 2;
+    /** By how many sends one agreement with a random member counts. */
+    private static final int AGREED_SENDS = 6;
     /** Field tag and length around a record. */
     private static final int FIELD_BYTES = 3;
 
@@ -80,6 +83,11 @@
         return packet;
     }
 
+    /** A random member holds the same state: what the digest covers needs to be passed on less often. */
+    void agreed() {
+        items.values().stream().filter(Item::inDigest).forEach(i -> i.sends += AGREED_SENDS);
+    }
+
     private void put(String key, Item item) {
         items.put(key, item);
     }
@@ -103,6 +111,10 @@
             return (member == null ? 0 : member.getSerializedSize()) + (fact == null ? 0 : fact.getSerializedSize());
         }
 
+        boolean inDigest() {
+            return member == null ? urgent : member.getState() == RecordState.ALIVE;
+        }
+
         void addTo(Packet.Builder packet) {
             if (member != null) {
                 packet.addMembers(member);
--- a/core/src/main/java/org/celerygw/core/membership/Digest.java
+++ b/core/src/main/java/org/celerygw/core/membership/Digest.java
@@ -38,13 +38,13 @@
             Packet.Builder packet,
             List<Item> members,
             FactTable facts,
+            List<Integer> ours,
             List<Integer> theirs,
             int firstBucket,
             int roomBytes) {
         if (theirs.size() != BUCKETS) {
             return false;
         }
-        List<Integer> ours = of(members, facts);
         int[] room = {roomBytes};
         for (int i = 0; i < BUCKETS; i++) {
             int bucket = (firstBucket + i) % BUCKETS;
--- a/core/src/main/java/org/celerygw/core/membership/MemberTable.java
+++ b/core/src/main/java/org/celerygw/core/membership/MemberTable.java
@@ -1,8 +1,8 @@
 package org.celerygw.core.membership;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +25,7 @@
     private final BroadcastQueue queue;
     private final Map<HostId, Entry> entries = new HashMap<>();
     private final Map<Endpoint, HostId> holders = new HashMap<>();
+    private Entry @Nullable [] present;
 
     MemberTable(MembershipSettings settings, BroadcastQueue queue) {
         this.settings = settings;
@@ -41,7 +42,11 @@
     }
 
     Stream<Entry> present() {
-        return entries.values().stream().filter(Entry::present);
+        return Arrays.stream(presentArray());
+    }
+
+    boolean alone() {
+        return presentArray().length == 0;
     }
 
     boolean presentAt(Endpoint endpoint) {
@@ -59,12 +64,17 @@
 
     /** Picks up to {@code count} present members at random among those that fit. */
     List<Entry> pick(int count, UniformRandomProvider random, Predicate<Entry> fits) {
-        List<Entry> all = new ArrayList<>(present().filter(fits).toList());
-        int wanted = Math.min(count, all.size());
-        for (int i = 0; i < wanted; i++) {
-            Collections.swap(all, i, i + random.nextInt(all.size() - i));
+        Entry[] all = presentArray().clone();
+        List<Entry> picked = new ArrayList<>();
+        for (int i = 0; i < all.length && picked.size() < count; i++) {
+            int at = i + random.nextInt(all.length - i);
+            Entry entry = all[at];
+            all[at] = all[i];
+            if (fits.test(entry)) {
+                picked.add(entry);
+            }
         }
-        return all.subList(0, wanted);
+        return picked;
     }
 
     /** Merges a record about another member and returns whether anything was learned. */
@@ -107,12 +117,23 @@
         present().filter(e -> e.state == MemberState.SUSPECT).forEach(e -> e.deadlineMs += gapMs);
     }
 
+    /** The present members; made again only after one came or went, as every step asks for them. */
+    private Entry[] presentArray() {
+        Entry[] made = present;
+        if (made == null) {
+            made = entries.values().stream().filter(Entry::present).toArray(Entry[]::new);
+            present = made;
+        }
+        return made;
+    }
+
     private boolean admit(MemberRecord record, Source source, Step step) {
         Entry entry = new Entry(Records.member(record), record.getIncarnation());
         if (!claim(entry, source, step)) {
             return false;
         }
         entries.put(entry.host(), entry);
+        present = null;
         step.changed(Change.Kind.JOINED, entry.member);
         if (source != Source.SYNC) {
             queue.add(entry.record(), true);
@@ -136,6 +157,7 @@
         entry.member = member;
         entry.incarnation = record.getIncarnation();
         entry.state = MemberState.ALIVE;
+        present = null;
         queue.add(entry.record(), source != Source.SYNC);
         step.changed(
                 wasDead ? Change.Kind.JOINED : wasSuspect ? Change.Kind.CLEARED : Change.Kind.UPDATED, entry.member);
@@ -172,6 +194,7 @@
         }
         boolean wasPresent = entry.present();
         entry.state = MemberState.LEFT;
+        present = null;
         entry.deadlineMs = step.nowMs + settings.tombstoneMs();
         queue.add(entry.record(), true);
         if (wasPresent) {
@@ -199,6 +222,7 @@
 
     private void end(Entry entry, MemberState state, Change.Kind kind, Step step) {
         entry.state = state;
+        present = null;
         entry.deadlineMs = step.nowMs + settings.tombstoneMs();
         step.changed(kind, entry.member);
     }
--- a/core/src/main/java/org/celerygw/core/membership/Membership.java
+++ b/core/src/main/java/org/celerygw/core/membership/Membership.java
@@ -349,7 +349,7 @@
         lastHeardMs = step.nowMs;
         MemberRecord sender = packet.getSender();
         HostId host = new HostId(sender.getHost());
-        boolean first = table.present().findAny().isEmpty();
+        boolean first = table.alone();
         boolean known = table.get(host) != null;
         table.merge(sender, MemberTable.Source.DIRECT, step);
         Entry entry = table.get(host);
@@ -478,7 +478,7 @@
         if (step.nowMs < nextReviveMs) {
             return;
         }
-        boolean alone = table.present().findAny().isEmpty();
+        boolean alone = table.alone();
         nextReviveMs = step.nowMs + (alone ? JOIN_RETRY_MS : settings.reviveIntervalMs());
         List<Entry> lost = table.lost();
         List<Endpoint> unknown =
@@ -509,11 +509,16 @@
     }
 
     private void sync(Endpoint to, List<Integer> theirs, Step step) {
+        List<Digest.Item> items = presentItems();
+        List<Integer> ours = Digest.of(items, facts);
+        if (ours.equals(theirs)) {
+            queue.agreed();
+            return;
+        }
         Packet.Builder packet = packet(PacketKind.SYNC, step);
         int room = room(settings.maxDatagramBytes());
-        boolean differs =
-                Digest.difference(packet, presentItems(), facts, theirs, random.nextInt(Digest.BUCKETS), room);
-        if (differs) {
+        int first = random.nextInt(Digest.BUCKETS);
+        if (Digest.difference(packet, items, facts, ours, theirs, first, room)) {
             nextSyncMs = Math.min(nextSyncMs, step.nowMs + BEHIND_SYNC_MS);
             send(to, packet, step);
         }
