--- a/cli/src/main/java/org/celerygw/cli/DemoTool.java
+++ b/cli/src/main/java/org/celerygw/cli/DemoTool.java
@@ -29,7 +29,10 @@
 
     private static Demo.Options options(Namespace parsed) {
         return new Demo.Options(
-                parsed.getInt("daemons"), parsed.getInt("engines"), parsed.getInt("declarations"), parsed.getInt("sessions"));
+                parsed.getInt("daemons"),
+                parsed.getInt("engines"),
+                parsed.getInt("declarations"),
+                parsed.getInt("sessions"));
     }
 
     private static ArgumentParser parser() {
--- a/cli/src/main/java/org/celerygw/cli/demo/Demo.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/Demo.java
@@ -59,11 +59,11 @@
      * @return 0 when nothing was lost and nothing ran twice, else 1
      */
     public int run() {
-        out.printf("demo: starting %d daemons, %d engines, the store and the tools.%n", options.daemons, options.engines);
+        out.printf(
+                "demo: starting %d daemons, %d engines, the store and the tools.%n", options.daemons, options.engines);
         try (LocalDeployment deployment = LocalDeployment.start(options.daemons, options.engines, "")) {
             out.println("demo: ready; callers at " + deployment.hosts() + ".");
-            Caller caller =
-                    new Caller(deployment.vertx(), deployment.hosts(), LocalDeployment.CALLER_KEY, PATIENCE_MS);
+            Caller caller = new Caller(deployment.vertx(), deployment.hosts(), LocalDeployment.CALLER_KEY, PATIENCE_MS);
             List<ProgramResult> results = runPrograms(deployment, caller);
             return report(deployment, caller, results);
         }
--- a/cli/src/main/java/org/celerygw/cli/demo/Engines.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/Engines.java
@@ -1,11 +1,11 @@
 package org.celerygw.cli.demo;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import org.celerygw.daemon.backend.BackendAddress;
 import org.celerygw.daemon.backend.BackendSettings;
 import org.celerygw.daemon.backend.Backends;
@@ -39,8 +39,8 @@
             Promise<Optional<Set<String>>> answer = Promise.promise();
             deployment
                     .vertx()
-                    .runOnContext(v ->
-                            backends.heldPrograms(new BackendAddress("127.0.0.1", e.port()), answer::complete));
+                    .runOnContext(
+                            v -> backends.heldPrograms(new BackendAddress("127.0.0.1", e.port()), answer::complete));
             Future<Optional<Set<String>>> future = answer.future();
             LocalDeployment.await(future).ifPresent(all::addAll);
         });
--- a/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
@@ -233,9 +233,7 @@
     }
 
     private String settings(int index) {
-        String seeds = gossipPorts.stream()
-                .map(p -> "127.0.0.1:" + p)
-                .collect(Collectors.joining(", "));
+        String seeds = gossipPorts.stream().map(p -> "127.0.0.1:" + p).collect(Collectors.joining(", "));
         String hash = Hashing.sha256()
                 .hashString(OPERATOR_KEY, StandardCharsets.UTF_8)
                 .toString();
--- a/cli/src/main/java/org/celerygw/cli/load/Audit.java
+++ b/cli/src/main/java/org/celerygw/cli/load/Audit.java
@@ -89,10 +89,8 @@
             List<JsonObject> recorded = record.getJsonArray("calls", new JsonArray()).stream()
                     .map(JsonObject.class::cast)
                     .toList();
-            List<Long> numbers =
-                    recorded.stream().map(c -> c.getLong("number")).toList();
-            List<Long> wanted =
-                    LongStream.rangeClosed(1, calls.size()).boxed().toList();
+            List<Long> numbers = recorded.stream().map(c -> c.getLong("number")).toList();
+            List<Long> wanted = LongStream.rangeClosed(1, calls.size()).boxed().toList();
             if (!numbers.equals(wanted)) {
                 faults.add("the record of " + program + " holds the calls " + numbers + " and not " + wanted);
             }
@@ -111,8 +109,9 @@
             return;
         }
         boolean own = call.tool()
-                ? executed.stream().anyMatch(e -> e.key().endsWith(":" + call.key())
-                        && e.body().equals(call.request()))
+                ? executed.stream()
+                        .anyMatch(e ->
+                                e.key().endsWith(":" + call.key()) && e.body().equals(call.request()))
                 : Streams.content(call.reply().text()).equals(expectedAnswer.apply(call.request()));
         if (!own) {
             faults.add("call " + call.key() + " got an answer that is not its own or not whole");
@@ -127,8 +126,6 @@
     }
 
     private long executions(ProgramResult.Call call) {
-        return executed.stream()
-                .filter(e -> e.key().endsWith(":" + call.key()))
-                .count();
+        return executed.stream().filter(e -> e.key().endsWith(":" + call.key())).count();
     }
 }
--- a/cli/src/main/java/org/celerygw/cli/load/Caller.java
+++ b/cli/src/main/java/org/celerygw/cli/load/Caller.java
@@ -25,8 +25,16 @@
  */
 public final class Caller {
     private static final Set<String> RETRYABLE = Set.of(
-            "NOT_OWNER", "STOPPING", "OVERLOADED", "CUSTOMER_LIMIT", "STORE_UNAVAILABLE", "BACKEND_LOST",
-            "BACKEND_FAILED", "NO_BACKEND", "IN_PROGRESS", "INTERNAL");
+            "NOT_OWNER",
+            "STOPPING",
+            "OVERLOADED",
+            "CUSTOMER_LIMIT",
+            "STORE_UNAVAILABLE",
+            "BACKEND_LOST",
+            "BACKEND_FAILED",
+            "NO_BACKEND",
+            "IN_PROGRESS",
+            "INTERNAL");
     private static final long RETRY_MS = 100;
     private static final long TRY_TIMEOUT_MS = 30_000;
 
--- a/daemon/src/main/java/org/celerygw/daemon/ActionRecord.java
+++ b/daemon/src/main/java/org/celerygw/daemon/ActionRecord.java
@@ -28,8 +28,7 @@
     Future<Void> write(Action action) {
         String key = PREFIX + String.format(java.util.Locale.ROOT, "%019d", Long.MAX_VALUE - action.getAtMs()) + "-"
                 + UUID.randomUUID();
-        Txn txn = new Txn(
-                List.of(new Txn.Condition(key, 0)), List.of(Txn.Change.put(key, action.toByteString())));
+        Txn txn = new Txn(List.of(new Txn.Condition(key, 0)), List.of(Txn.Change.put(key, action.toByteString())));
         Promise<Void> done = Promise.promise();
         attempt(txn, 1, done);
         return done.future();
--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
-import org.celerygw.api.gen.owner.OwnerRequest;
 import org.celerygw.core.call.Outcome;
 import org.celerygw.core.config.AcceptedConfig;
 import org.celerygw.core.config.ConfigSettings;
@@ -317,11 +316,7 @@
         private void opened() {
             health.holds(Health.Condition.LISTENING);
             health.holds(Health.Condition.NOT_STOPPING);
-            LOG.info(
-                    "host: {} listens for callers at {}, operators at {}.",
-                    host,
-                    httpPort,
-                    operatorPort);
+            LOG.info("host: {} listens for callers at {}, operators at {}.", host, httpPort, operatorPort);
             vertx.setPeriodic(TICK_MS, t -> tick());
             vertx.setPeriodic(settings.backends().loadPollMs(), t -> sender.pollLoad());
             vertx.setPeriodic(settings.backends().cachePollMs(), t -> sender.pollCache());
@@ -355,11 +350,7 @@
         }
 
         private void inForce(AcceptedConfig config) {
-            LOG.info(
-                    "config: version {} of {} is in force: {}.",
-                    config.version(),
-                    config.actor(),
-                    config.reason());
+            LOG.info("config: version {} of {} is in force: {}.", config.version(), config.actor(), config.reason());
             sender.configure(config.content());
             config.content()
                     .getCustomersList()
@@ -441,8 +432,9 @@
 
         private void deposed() {
             LOG.error("lease: {} lost its slots to another host and restarts.", host);
-            closeAll().onComplete(r -> stopped.completeExceptionally(
-                    new GatewayException(ErrorCode.NOT_OWNER, "This host was deposed; start it again.")));
+            closeAll()
+                    .onComplete(r -> stopped.completeExceptionally(
+                            new GatewayException(ErrorCode.NOT_OWNER, "This host was deposed; start it again.")));
         }
 
         private Future<Void> closeAll() {
--- a/daemon/src/main/java/org/celerygw/daemon/Fleet.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Fleet.java
@@ -95,8 +95,8 @@
     }
 
     static MembershipKeys keys(Settings.Gossip settings) {
-        Map<Integer, ByteString> keys = settings.keys().stream()
-                .collect(Collectors.toMap(Settings.GossipKey::id, k -> bytes(k.secret())));
+        Map<Integer, ByteString> keys =
+                settings.keys().stream().collect(Collectors.toMap(Settings.GossipKey::id, k -> bytes(k.secret())));
         return new MembershipKeys(settings.sendKeyId(), keys);
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/HostControl.java
+++ b/daemon/src/main/java/org/celerygw/daemon/HostControl.java
@@ -107,16 +107,17 @@
     Runnable serve(String method, ByteString request, Responder responder) {
         View v = view.get();
         switch (method) {
-            case CONFIG -> responder.end(answer(v.configurations()
-                    .serve(parseVersion(request))
-                    .orElse(ByteString.EMPTY)));
+            case CONFIG ->
+                responder.end(
+                        answer(v.configurations().serve(parseVersion(request)).orElse(ByteString.EMPTY)));
             case HOST -> responder.end(answer(self().toByteString()));
             case DRAIN -> {
                 v.stop().run();
                 responder.end(answer(ByteString.EMPTY));
             }
-            default -> responder.end(Outcome.failed(
-                    ErrorCode.INVALID_ARGUMENT, RunState.NOT_RUN, 0, "This release does not know the method."));
+            default ->
+                responder.end(Outcome.failed(
+                        ErrorCode.INVALID_ARGUMENT, RunState.NOT_RUN, 0, "This release does not know the method."));
         }
         return () -> {};
     }
@@ -202,7 +203,10 @@
     @Override
     public Future<ExplainProgramReply> explainProgram(ExplainProgramRequest r) {
         Explain explain = Explain.newBuilder().setProgram(r.getProgram()).build();
-        return ask(r.getProgram(), new Actor("reader"), OwnerRequest.newBuilder().setExplain(explain))
+        return ask(
+                        r.getProgram(),
+                        new Actor("reader"),
+                        OwnerRequest.newBuilder().setExplain(explain))
                 .map(o -> ExplainProgramReply.newBuilder()
                         .setJson(o.answer().toStringUtf8())
                         .build());
@@ -260,7 +264,8 @@
                 .orElseThrow(() -> new GatewayException(ErrorCode.NOT_FOUND, "There is no such back end."));
         server.setLeaving(true);
         return accept(new Proposal(changed.build(), seen.version(), actor.name(), "drain back end " + r.getId()))
-                .onSuccess(reply -> view.get().fleet().gossip().markLeaving(new BackendServerId(r.getId()), reply.getVersion()));
+                .onSuccess(reply ->
+                        view.get().fleet().gossip().markLeaving(new BackendServerId(r.getId()), reply.getVersion()));
     }
 
     private Future<AcceptConfigReply> accept(Proposal proposal) {
@@ -276,19 +281,22 @@
 
     private static void finish(AcceptResult result, Promise<AcceptConfigReply> done) {
         switch (result.status()) {
-            case ACCEPTED -> done.complete(AcceptConfigReply.newBuilder()
-                    .setVersion(result.config().version())
-                    .build());
+            case ACCEPTED ->
+                done.complete(AcceptConfigReply.newBuilder()
+                        .setVersion(result.config().version())
+                        .build());
             case CONFLICT -> done.complete(conflict(result.config()));
-            case INVALID -> done.fail(
-                    new GatewayException(ErrorCode.INVALID_ARGUMENT, "The configuration is wrong: " + result.problems()));
+            case INVALID ->
+                done.fail(new GatewayException(
+                        ErrorCode.INVALID_ARGUMENT, "The configuration is wrong: " + result.problems()));
             case NOT_FOUND -> done.fail(new GatewayException(ErrorCode.NOT_FOUND, "There is no such version."));
             case UNAVAILABLE -> done.fail(storeDown());
-            case UNKNOWN -> done.fail(new GatewayException(
-                    ErrorCode.STORE_UNAVAILABLE,
-                    RunState.UNKNOWN,
-                    1_000,
-                    "The store lost its answer; look which version is in force before you try again."));
+            case UNKNOWN ->
+                done.fail(new GatewayException(
+                        ErrorCode.STORE_UNAVAILABLE,
+                        RunState.UNKNOWN,
+                        1_000,
+                        "The store lost its answer; look which version is in force before you try again."));
         }
     }
 
@@ -304,14 +312,18 @@
     public Future<ConfigHistoryReply> configHistory(ConfigHistoryRequest r) {
         int limit = r.getLimit() > 0 ? Math.min(r.getLimit(), 200) : 20;
         Promise<ConfigHistoryReply> done = Promise.promise();
-        view.get().configurations()
-                .history(0, limit, found -> found.ifPresentOrElse(
-                        versions -> done.complete(ConfigHistoryReply.newBuilder()
-                                .addAllVersions(versions.stream()
-                                        .map(c -> reply(c, false))
-                                        .toList())
-                                .build()),
-                        () -> done.fail(storeDown())));
+        view.get()
+                .configurations()
+                .history(
+                        0,
+                        limit,
+                        found -> found.ifPresentOrElse(
+                                versions -> done.complete(ConfigHistoryReply.newBuilder()
+                                        .addAllVersions(versions.stream()
+                                                .map(c -> reply(c, false))
+                                                .toList())
+                                        .build()),
+                                () -> done.fail(storeDown())));
         return done.future();
     }
 
@@ -331,8 +343,8 @@
 
     @Override
     public Future<ListHostsReply> listHosts(ListHostsRequest r) {
-        return hosts().map(hosts ->
-                ListHostsReply.newBuilder().addAllHosts(hosts).build());
+        return hosts().map(
+                        hosts -> ListHostsReply.newBuilder().addAllHosts(hosts).build());
     }
 
     private Future<List<HostInfo>> hosts() {
@@ -392,7 +404,8 @@
     }
 
     private Configuration configuration() {
-        return view.get().configurations()
+        return view.get()
+                .configurations()
                 .inForce()
                 .map(AcceptedConfig::content)
                 .orElse(Configuration.getDefaultInstance());
--- a/daemon/src/main/java/org/celerygw/daemon/Process.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Process.java
@@ -33,8 +33,10 @@
                 .setLevel(Level.valueOf(settings.logLevel().name()));
         Vertx vertx = Vertx.vertx();
         try {
-            Daemon daemon =
-                    Daemon.start(vertx, settings).toCompletionStage().toCompletableFuture().get();
+            Daemon daemon = Daemon.start(vertx, settings)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get();
             watchSignals(daemon);
             daemon.stopped().onComplete(r -> end(r.succeeded() ? 0 : ErrorCode.NOT_OWNER.exitCode()));
             ended.await();
--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -77,9 +77,8 @@
      */
     public CallerServer(Vertx vertx, HttpServerOptions options, Parts parts) {
         this.parts = parts;
-        this.server = vertx.createHttpServer(options)
-                .requestHandler(routes(vertx))
-                .connectionHandler(this::connected);
+        this.server =
+                vertx.createHttpServer(options).requestHandler(routes(vertx)).connectionHandler(this::connected);
     }
 
     private void connected(HttpConnection connection) {
--- a/daemon/src/main/java/org/celerygw/daemon/route/LinkedPeers.java
+++ b/daemon/src/main/java/org/celerygw/daemon/route/LinkedPeers.java
@@ -29,8 +29,7 @@
      * @param links the links between daemons
      * @param addresses where a host listens for its peers, as membership knows it
      */
-    public LinkedPeers(
-            Context context, PeerLinks links, Function<HostId, Optional<InetSocketAddress>> addresses) {
+    public LinkedPeers(Context context, PeerLinks links, Function<HostId, Optional<InetSocketAddress>> addresses) {
         this.context = context;
         this.links = links;
         this.addresses = addresses;
