--- a/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
+++ b/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
@@ -32,10 +32,10 @@
     private static final long NO_BACKEND_RETRY_MS = 1_000;
     private static final long MIN_RETRY_MS = 200;
     private static final int MAX_BLOCKED = 32;
-    /** Engine priorities count tenths of a second from 2026-01-01 UTC; 32 bits last 6 years each way. */
-    private static final long PRIORITY_EPOCH_MS = 1_767_225_600_000L;
+    /** Engine priorities count hundredths of a second from 2027-01-01 UTC; 32 bits last 248 days each way. */
+    private static final long PRIORITY_EPOCH_MS = 1_798_761_600_000L;
 
-    private static final long PRIORITY_UNIT_MS = 100;
+    private static final long PRIORITY_UNIT_MS = 10;
 
     private final DispatcherSettings settings;
     private final Map<BackendServerId, Engine> engines = new HashMap<>();
@@ -248,11 +248,13 @@
         programs.started(item.program(), engine);
         prefixes.add(item.prefixHashes(), engine, nowMs);
         retries.started();
-        return new Decision.Start(item.ticket(), engine.info.id(), priority(w), line(w, route, nowMs));
+        return new Decision.Start(item.ticket(), engine.info.id(), priority(w, route), line(w, route, nowMs));
     }
 
-    private static int priority(Waiting w) {
-        long units = (w.orderMs() - PRIORITY_EPOCH_MS) / PRIORITY_UNIT_MS;
+    /** The engine's order: that of the queue, with a call that has little to compute before one that has much. */
+    private int priority(Waiting w, Router.Route route) {
+        double behindMs = Math.min((double) settings.prefillCapMs(), route.rebuildMs() * settings.prefillWeight());
+        long units = (w.orderMs() + (long) behindMs - PRIORITY_EPOCH_MS) / PRIORITY_UNIT_MS;
         return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, units));
     }
 
@@ -398,10 +400,12 @@
      *
      * @param engine the engine
      * @param events the changes
+     * @param nowMs the time now
      */
-    public void cacheEvents(BackendServerId engine, CacheEvents events) {
+    public void cacheEvents(BackendServerId engine, CacheEvents events, long nowMs) {
         Engine e = engines.get(engine);
         if (e != null) {
+            prefixes.added(events.added(), e, nowMs);
             prefixes.removed(e, events.removed());
         }
     }
--- a/core/src/main/java/org/celerygw/core/routing/Engine.java
+++ b/core/src/main/java/org/celerygw/core/routing/Engine.java
@@ -12,6 +12,7 @@
     private static final int MIN_PREFILL_TOKENS = 256;
     static final int MIN_OUTPUT_TOKENS = 8;
     private static final int MIN_LIMIT = 2;
+    private static final int CROWDED_REPORTS = 4;
     private static final double SPEED_MEMORY_MS = 30_000;
 
     EngineInfo info;
@@ -25,6 +26,7 @@
     private double prefillMs = DEFAULT_PREFILL_MS;
     private double tokenMs = DEFAULT_TOKEN_MS;
     private long learnedAtMs = Long.MIN_VALUE / 2;
+    private int crowdedReports;
     private double limit;
     private boolean gone;
 
@@ -72,11 +74,13 @@
         adaptLimit(engineQueue);
     }
 
+    /** Calls that wait in report after report mean that the batch is as large as the engine can make it. */
     private void adaptLimit(int engineQueue) {
-        if (report.waiting() > engineQueue) {
+        crowdedReports = report.waiting() > engineQueue ? crowdedReports + 1 : 0;
+        if (crowdedReports >= CROWDED_REPORTS) {
             limit = Math.max(MIN_LIMIT, Math.min(limit, report.running()));
-        } else if (report.waiting() == 0 && report.running() >= limit - 1) {
-            limit += 1;
+        } else if (report.running() >= limit - 1) {
+            limit = Math.max(limit, report.running()) + 1;
         }
     }
 
--- a/core/src/main/java/org/celerygw/core/routing/LoadReport.java
+++ b/core/src/main/java/org/celerygw/core/routing/LoadReport.java
@@ -7,6 +7,7 @@
  * @param running calls in its batch
  * @param waiting calls in its queue
  * @param queuedPrefillTokens prompt tokens that it has still to compute, for calls running or waiting
- * @param cacheAgeMs how long the block evicted last had been idle; 0 when nothing was evicted yet
+ * @param cacheAgeMs how long the cached block idle longest has been so, since one idle for longer must have been
+ *     evicted; 0 while nothing was ever evicted
  */
 public record LoadReport(long asOfMs, int running, int waiting, long queuedPrefillTokens, long cacheAgeMs) {}
--- a/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
+++ b/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
@@ -7,12 +7,14 @@
 import java.util.function.ObjIntConsumer;
 
 /**
- * Which engines hold which prompt prefixes. Only some prefix lengths are kept, four in each doubling, and the whole
- * length of each prompt, so that the cost of a prompt grows with the logarithm of its length.
+ * Which engines hold which prompt prefixes, from what this host started and from the engines' news. Only a sample
+ * of the hashes is kept, and the last of each prompt that was started here.
  */
 final class PrefixIndex {
     private static final int MAX_HOLDERS = 16;
     private static final int SWEEP_STEPS = 64;
+    /** One hash in eight is kept: an engine's prefix is known to within some 500 tokens. */
+    private static final long SAMPLE_MASK = 7;
 
     private final long idleMs;
     private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>(1024, 0.75f, true);
@@ -80,29 +82,46 @@
         }
     }
 
-    /** Returns the next shorter kept length, or 0. */
-    static int shorter(int blocks) {
-        if (blocks <= 8) {
-            return blocks - 1;
-        }
-        int step = Math.max(1, Integer.highestOneBit(blocks - 1) / 4);
-        return (blocks - 1) / step * step;
+    /** Every host keeps the same part of all hashes, so that the engines' news can be filtered without looking up. */
+    private static boolean sampled(long hash) {
+        return (hash & SAMPLE_MASK) == 0;
     }
 
+    /** An engine computes this prompt and so holds its prefix. */
     void add(List<Long> hashes, Engine engine, long nowMs) {
-        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
-            byHash.computeIfAbsent(hashes.get(blocks - 1), h -> new Holders()).put(engine, nowMs);
+        for (int i = 0; i < hashes.size(); i++) {
+            Long hash = hashes.get(i);
+            if (i == hashes.size() - 1 || sampled(hash)) {
+                put(hash, engine, nowMs);
+            }
         }
         sweep(nowMs);
     }
 
+    /** An engine says that it holds these blocks. */
+    void added(List<Long> hashes, Engine engine, long nowMs) {
+        for (Long hash : hashes) {
+            if (sampled(hash)) {
+                put(hash, engine, nowMs);
+            }
+        }
+        sweep(nowMs);
+    }
+
+    private void put(Long hash, Engine engine, long nowMs) {
+        byHash.computeIfAbsent(hash, h -> new Holders()).put(engine, nowMs);
+    }
+
     /**
      * Calls back for each engine that holds a prefix of the prompt, with the blocks held; the longest comes first
      * and an engine may come again with fewer.
      */
     void match(List<Long> hashes, long nowMs, ObjIntConsumer<Engine> found) {
-        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
-            report(hashes.get(blocks - 1), blocks, nowMs, found);
+        for (int i = hashes.size() - 1; i >= 0; i--) {
+            Long hash = hashes.get(i);
+            if (i == hashes.size() - 1 || sampled(hash)) {
+                report(hash, i + 1, nowMs, found);
+            }
         }
     }
 
--- a/core/src/main/java/org/celerygw/core/routing/Router.java
+++ b/core/src/main/java/org/celerygw/core/routing/Router.java
@@ -167,11 +167,12 @@
         int miss = Math.max(1, item.promptTokens() - blocks * WorkItem.BLOCK_TOKENS);
         double queueMs = e.queuedTokens(nowMs) * e.prefillMs() + slotWaitMs(e);
         double rebuildMs = miss * e.prefillMs();
-        double fullness = e.calls() / e.limit();
         double outputTokens = Math.min(item.maxOutputTokens(), usual.outputTokens());
-        double decodeMs = outputTokens * e.tokenMs(usual.tokenMs(), nowMs) * (1 + CROWDING * fullness);
+        double decodeMs = outputTokens * e.tokenMs(usual.tokenMs(), nowMs);
+        // The calls already in the batch lose time as well: to each step's prefill, and to a fuller batch.
+        double othersMs = e.calls() * (rebuildMs * settings.rebuildWeight() + decodeMs * CROWDING / e.limit());
         double zoneMs = e.info.zone().equals(zone) ? 0 : settings.zoneCostMs();
-        double costMs = queueMs + rebuildMs * settings.rebuildWeight() + decodeMs + zoneMs;
+        double costMs = queueMs + rebuildMs + decodeMs + othersMs + zoneMs;
         return new Route(e, miss, queueMs, rebuildMs, costMs, affinity(blocks));
     }
 
--- a/core/src/test/java/org/celerygw/core/routing/DispatcherTest.java
+++ b/core/src/test/java/org/celerygw/core/routing/DispatcherTest.java
@@ -86,7 +86,9 @@
         Decision.Start first = startOne(item(1, "p", SESSION, 0, 100), NOW_MS);
         dispatcher.ended(1, true, 128, NOW_MS + 1000);
         dispatcher.cacheEvents(
-                first.engine(), new CacheEvents(1, item(1, "p", SESSION, 0, 100).prefixHashes()));
+                first.engine(),
+                new CacheEvents(1, List.of(), item(1, "p", SESSION, 0, 100).prefixHashes()),
+                NOW_MS);
         Decision.Start second = startOne(item(2, "p", SESSION, 500, 110), NOW_MS + 2000);
         assertTrue(second.line().endsWith("no cache"), second.line());
     }
@@ -119,7 +121,8 @@
     @Test
     public void sessionStartsBeforeBatchThatCameEarlier() {
         DispatcherSettings d = DispatcherSettings.DEFAULT;
-        dispatcher = make(new DispatcherSettings(1, d.choices(), 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        dispatcher =
+                make(new DispatcherSettings(1, d.choices(), 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 0, 0, 1_000), 1, List.of());
         startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
         assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS + 1).accepted());
         assertTrue(dispatcher.offer(item(3, "p3", SESSION, 5, 1), NOW_MS + 2).accepted());
@@ -130,7 +133,7 @@
 
     @Test
     public void batchThatWaitedPastItsAgeingGoesBeforeANewSession() {
-        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 0, 0, 1_000), 1, List.of());
         startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
         assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS + 1).accepted());
         assertTrue(
@@ -143,7 +146,7 @@
     public void customerAtItsLimitIsRefusedWithAHint() {
         DispatcherSettings d = DispatcherSettings.DEFAULT;
         dispatcher = make(
-                new DispatcherSettings(1, d.choices(), 10, 5_000, 8, 0, 1, 0, 0, 0, 0, 1_000),
+                new DispatcherSettings(1, d.choices(), 10, 5_000, 8, 0, 1, 0, 0, 0, 0, 0, 0, 1_000),
                 1,
                 List.of(new CustomerShare(new CustomerId("c"), 1, 2)));
         startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
@@ -161,7 +164,7 @@
 
     @Test
     public void callWhoseDeadlinePassedWhileWaitingIsDroppedBeforeItCosts() {
-        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        dispatcher = make(new DispatcherSettings(1, 8, 10, 5_000, 1, 0, 1, 0, 0, 0, 0, 0, 0, 1_000), 1, List.of());
         startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
         assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS).accepted());
         Decision.Drop drop = (Decision.Drop) dispatcher.next(NOW_MS + 60_000).get(0);
@@ -171,7 +174,7 @@
 
     @Test
     public void fullQueueShedsTheLowestClass() {
-        dispatcher = make(new DispatcherSettings(1, 8, 1, 5_000, 1, 0, 1, 0, 0, 0, 0, 1_000), 1, List.of());
+        dispatcher = make(new DispatcherSettings(1, 8, 1, 5_000, 1, 0, 1, 0, 0, 0, 0, 0, 0, 1_000), 1, List.of());
         startOne(item(1, "p1", BATCH, 0, 1), NOW_MS);
         assertTrue(dispatcher.offer(item(2, "p2", BATCH, 5, 1), NOW_MS).accepted());
         assertTrue(dispatcher.offer(item(3, "p3", SESSION, 5, 1), NOW_MS).accepted());
--- /dev/null
+++ b/standin/src/main/java/org/celerygw/standin/model/package-info.java
@@ -0,0 +1,10 @@
+/**
+ * An engine and its programs in virtual time, to compare policies: continuous batching, prefill and decode rates, a
+ * prefix cache with eviction, and program traces with fixed seeds.
+ *
+ * <p>Start from {@link org.celerygw.standin.model.EngineModel} and {@link org.celerygw.standin.model.TraceSource}.
+ */
+@NullMarked
+package org.celerygw.standin.model;
+
+import org.jspecify.annotations.NullMarked;
