Refuse new programs early by class and put short prompts first in engines

Change: first calls are refused when the engines' own queues exceed a wait that falls with the class; priorities count tenths of a second from 2027 and runs start there; short prompts go first in engines and are expected to pass the queue.

--- a/cli/src/main/java/org/celerygw/cli/experiment/Simulation.java
+++ b/cli/src/main/java/org/celerygw/cli/experiment/Simulation.java
@@ -24,6 +24,9 @@
 /** Runs programs over hosts and engines in virtual time, in one thread; the same seed gives the same run. */
 final class Simulation {
     static final long CALL_PATIENCE_MS = 120_000;
+    /** The wall clock at the start of a run: 2027-01-01 UTC. */
+    static final long START_MS = 1_798_761_600_000L;
+
     private static final int MAX_ATTEMPTS = 10;
     private static final double REPORT_MS = 250;
     private static final double EVENT_LOSS = 0.05;
@@ -144,7 +147,7 @@
     }
 
     private long now() {
-        return (long) nowMs;
+        return START_MS + (long) nowMs;
     }
 
     private void begin(ProgramTrace trace) {
--- a/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
+++ b/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
@@ -32,10 +32,12 @@
     private static final long NO_BACKEND_RETRY_MS = 1_000;
     private static final long MIN_RETRY_MS = 200;
     private static final int MAX_BLOCKED = 32;
-    /** Engine priorities count hundredths of a second from 2027-01-01 UTC; 32 bits last 248 days each way. */
+    /** How much sooner the first calls of each lower class are refused. */
+    private static final long SHED_STEP = 8;
+    /** Engine priorities count tenths of a second from 2027-01-01 UTC; 32 bits last 6 years each way. */
     private static final long PRIORITY_EPOCH_MS = 1_798_761_600_000L;
 
-    private static final long PRIORITY_UNIT_MS = 10;
+    private static final long PRIORITY_UNIT_MS = 100;
 
     private final DispatcherSettings settings;
     private final Map<BackendServerId, Engine> engines = new HashMap<>();
@@ -134,8 +136,9 @@
             long retryMs = Math.max(MIN_RETRY_MS, (long) usual.callMs());
             return refuse(item, ErrorCode.CUSTOMER_LIMIT, retryMs, "customer " + item.customer() + " is at its limit");
         }
-        long waitMs = expectedWaitMs(rank);
-        if (waitMs > patienceMs(item, nowMs)) {
+        boolean first = item.attainedTokens() == 0;
+        long waitMs = expectedWaitMs(rank) + (first ? router.engineWaitMs(item.model(), nowMs) : 0);
+        if (waitMs > patienceMs(item, rank, nowMs)) {
             return refuse(
                     item, ErrorCode.OVERLOADED, Math.max(MIN_RETRY_MS, waitMs), "expected wait " + waitMs + " ms");
         }
@@ -165,11 +168,13 @@
         return new Admission(code, retryAfterMs, line);
     }
 
-    /** A program under way waits as long as its caller does; a new one only if it can start soon. */
-    private long patienceMs(WorkItem item, long nowMs) {
+    /** A program under way waits as long as its caller does; a new one only if it starts soon, low classes first. */
+    private long patienceMs(WorkItem item, int rank, long nowMs) {
         long untilDeadlineMs = item.deadlineMs() - nowMs;
         boolean first = item.attainedTokens() == 0;
-        return first ? Math.min(untilDeadlineMs, settings.newProgramWaitMs()) : untilDeadlineMs;
+        return first
+                ? Math.min(untilDeadlineMs, settings.newProgramWaitMs() / (1 + SHED_STEP * rank))
+                : untilDeadlineMs;
     }
 
     private long expectedWaitMs(int rank) {
--- a/core/src/main/java/org/celerygw/core/routing/DispatcherSettings.java
+++ b/core/src/main/java/org/celerygw/core/routing/DispatcherSettings.java
@@ -37,7 +37,7 @@
         long releaseRetryMs) {
     /** Settings for a deployment of today's size. */
     public static final DispatcherSettings DEFAULT =
-            new DispatcherSettings(12, 8, 2_000, 5_000, 48, 4, 0.4, 100, 2, 50, 2_000, 2, 5_000, 1_000);
+            new DispatcherSettings(12, 8, 2_000, 2_000, 48, 4, 0.4, 100, 2, 0, 2_000, 8, 9_000, 1_000);
 
     /**
      * Checks the numbers.
--- a/core/src/main/java/org/celerygw/core/routing/Router.java
+++ b/core/src/main/java/org/celerygw/core/routing/Router.java
@@ -14,6 +14,8 @@
  * that the engine's cache lacks, and the slower decoding of a fuller batch.
  */
 final class Router {
+    /** A prompt with this much to compute waits for all of an engine's queue. */
+    private static final double LONG_PROMPT_TOKENS = 2_000;
     /** How much longer a token takes in a full batch than in an empty one. */
     private static final double CROWDING = 0.25;
     /** A call with the whole batch before it waits about this part of a usual call for each place. */
@@ -165,7 +167,9 @@
 
     private Route weigh(WorkItem item, Engine e, int blocks, long nowMs) {
         int miss = Math.max(1, item.promptTokens() - blocks * WorkItem.BLOCK_TOKENS);
-        double queueMs = e.queuedTokens(nowMs) * e.prefillMs() + slotWaitMs(e);
+        // Engines compute short prompts first, so that a short one passes most of the queue.
+        double passed = Math.min(1, miss / LONG_PROMPT_TOKENS);
+        double queueMs = e.queuedTokens(nowMs) * e.prefillMs() * passed + slotWaitMs(e);
         double rebuildMs = miss * e.prefillMs();
         double outputTokens = Math.min(item.maxOutputTokens(), usual.outputTokens());
         double decodeMs = outputTokens * e.tokenMs(usual.tokenMs(), nowMs);
@@ -187,6 +191,17 @@
         return blocks == most ? Affinity.KEPT : Affinity.YIELDED;
     }
 
+    /** Returns how long a call without any cache would wait inside the least loaded of a few engines. */
+    long engineWaitMs(ModelName model, long nowMs) {
+        List<Engine> all = serving(model);
+        double leastMs = Double.MAX_VALUE;
+        for (int i = 0; i < settings.choices(); i++) {
+            Engine e = all.get(rng.nextInt(all.size()));
+            leastMs = Math.min(leastMs, e.queuedTokens(nowMs) * e.prefillMs() + slotWaitMs(e));
+        }
+        return (long) leastMs;
+    }
+
     private double slotWaitMs(Engine e) {
         double above = e.calls() + 1 - e.limit();
         return above <= 0 ? 0 : above * Math.max(MIN_USUAL_CALL_MS, usual.callMs()) / e.limit();
