--- a/cli/src/main/java/org/celerygw/cli/bench/RoutingBenchmark.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/RoutingBenchmark.java
@@ -70,11 +70,12 @@
                 .mapToObj(i -> new EngineInfo(new BackendServerId("e" + i), ZONE, Set.of(MODEL), false))
                 .toList();
         dispatcher.configure(infos, List.of(new ClassInfo(CLASS, 0, 10_000)), List.of());
-        infos.forEach(e -> dispatcher.loadReport(e.id(), new LoadReport(nowMs, rng.nextInt(40), 0, 500, 0)));
         items = IntStream.range(0, programs).mapToObj(this::item).toArray(WorkItem[]::new);
         for (int i = 0; i < programs; i++) {
             decide(items[i]);
         }
+        nowMs += 250;
+        infos.forEach(e -> dispatcher.loadReport(e.id(), new LoadReport(nowMs, rng.nextInt(40), 0, 500, 0)));
     }
 
     private WorkItem item(int program) {
--- a/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
+++ b/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
@@ -31,6 +31,7 @@
     private static final long PREFIX_IDLE_MS = 600_000;
     private static final long NO_BACKEND_RETRY_MS = 1_000;
     private static final long MIN_RETRY_MS = 200;
+    private static final long SLOTS_MS = 1_000;
     private static final int MAX_BLOCKED = 32;
     /** How much sooner the first calls of each lower class are refused. */
     private static final long SHED_STEP = 8;
@@ -51,6 +52,8 @@
     private final Customers customers;
     private final Router router;
     private Map<PriorityClassName, ClassInfo> classes = Map.of();
+    private double slots = 1;
+    private long slotsUntilMs = Long.MIN_VALUE;
 
     /**
      * Makes a dispatcher that knows no engine yet.
@@ -100,6 +103,7 @@
                 .filter(e -> !listed.containsKey(e.info.id()))
                 .forEach(Engine::leave);
         listed.values().forEach(this::update);
+        slotsUntilMs = Long.MIN_VALUE;
         refreshRoutes();
     }
 
@@ -146,7 +150,7 @@
     }
 
     private Admission enqueue(WorkItem item, int rank, long waitMs, long nowMs) {
-        long aheadMs = customers.enter(item.customer(), usual.callMs(), slots(), nowMs);
+        long aheadMs = customers.enter(item.customer(), usual.callMs(), slots(nowMs), nowMs);
         Waiting waiting = new Waiting(item, rank, nowMs, orderMs(item, rank, aheadMs, nowMs));
         Waiting last = queue.last();
         if (queue.size() < settings.maxWaiting() || last == null) {
@@ -182,12 +186,17 @@
         return (long) (turnsAhead * usual.callMs());
     }
 
-    private double slots() {
-        double all = engines.values().stream()
-                .filter(Engine::takesWork)
-                .mapToDouble(Engine::limit)
-                .sum();
-        return Math.max(1, all / settings.fleetHosts());
+    /** The calls that this host can run at once; summed over all engines only now and then. */
+    private double slots(long nowMs) {
+        if (nowMs >= slotsUntilMs) {
+            double all = engines.values().stream()
+                    .filter(Engine::takesWork)
+                    .mapToDouble(Engine::limit)
+                    .sum();
+            slots = Math.max(1, all / settings.fleetHosts());
+            slotsUntilMs = nowMs + SLOTS_MS;
+        }
+        return slots;
     }
 
     private int rank(PriorityClassName name) {
@@ -263,13 +272,13 @@
         return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, units));
     }
 
-    private static String line(Waiting w, Router.Route route, long nowMs) {
+    private String line(Waiting w, Router.Route route, long nowMs) {
         long wholeMs = (long) (w.item().promptTokens() * route.engine().prefillMs());
         return "route: program " + w.item().program() + " to engine "
                 + route.engine().info.id() + ": class "
                 + w.item().priorityClass() + ", waited " + (nowMs - w.offeredMs()) + " ms, queue "
                 + (long) route.queueMs() + " ms, rebuild " + (long) route.rebuildMs() + " ms of " + wholeMs + " ms, "
-                + route.affinity().text();
+                + router.affinity(route).text();
     }
 
     /**
@@ -363,7 +372,7 @@
         List<Long> hashes = f.item.prefixHashes();
         int blocks = hashes.size();
         if (blocks > 0) {
-            prefixes.add(hashes, f.engine, nowMs);
+            prefixes.used(hashes.get(blocks - 1), f.engine, nowMs);
             int answerBlocks = outputTokens / WorkItem.BLOCK_TOKENS;
             programs.answered(
                     f.item.program(), new Programs.Tail(f.engine, blocks, hashes.get(blocks - 1), answerBlocks));
--- a/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
+++ b/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
@@ -12,12 +12,14 @@
  */
 final class PrefixIndex {
     private static final int MAX_HOLDERS = 16;
-    private static final int SWEEP_STEPS = 64;
+    private static final int SWEEP_STEPS = 256;
+    private static final long SWEEP_MS = 100;
     /** One hash in eight is kept: an engine's prefix is known to within some 500 tokens. */
     private static final long SAMPLE_MASK = 7;
 
     private final long idleMs;
-    private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>(1024, 0.75f, true);
+    private long nextSweepMs;
+    private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>();
 
     PrefixIndex(long idleMs) {
         this.idleMs = idleMs;
@@ -98,6 +100,11 @@
         sweep(nowMs);
     }
 
+    /** An engine has just finished with the prompt that ends in this hash. */
+    void used(Long hash, Engine engine, long nowMs) {
+        put(hash, engine, nowMs);
+    }
+
     /** An engine says that it holds these blocks. */
     void added(List<Long> hashes, Engine engine, long nowMs) {
         for (Long hash : hashes) {
@@ -152,15 +159,18 @@
         }
     }
 
-    /** Drops a few of the entries idle longest, so that the index stays bounded by what is in use. */
+    /** Looks at a few of the oldest entries: those idle go, those in use get another turn. */
     private void sweep(long nowMs) {
-        var eldest = byHash.entrySet().iterator();
-        for (int i = 0; i < SWEEP_STEPS && eldest.hasNext(); i++) {
-            Map.Entry<Long, Holders> entry = eldest.next();
-            if (nowMs - entry.getValue().lastMs < idleMs) {
-                return;
+        if (nowMs < nextSweepMs || byHash.isEmpty()) {
+            return;
+        }
+        for (int i = 0; i < SWEEP_STEPS && !byHash.isEmpty(); i++) {
+            Map.Entry<Long, Holders> eldest = byHash.entrySet().iterator().next();
+            byHash.remove(eldest.getKey());
+            if (nowMs - eldest.getValue().lastMs < idleMs) {
+                byHash.put(eldest.getKey(), eldest.getValue());
             }
-            eldest.remove();
         }
+        nextSweepMs = nowMs + SWEEP_MS;
     }
 }
--- a/core/src/main/java/org/celerygw/core/routing/Router.java
+++ b/core/src/main/java/org/celerygw/core/routing/Router.java
@@ -67,7 +67,7 @@
     }
 
     /** An engine weighed for a call. */
-    record Route(Engine engine, int missTokens, double queueMs, double rebuildMs, double costMs, Affinity affinity) {}
+    record Route(Engine engine, int missTokens, double queueMs, double rebuildMs, double costMs, int heldBlocks) {}
 
     void setEngines(List<Engine> engines) {
         byModel.clear();
@@ -177,10 +177,11 @@
         double othersMs = e.calls() * (rebuildMs * settings.rebuildWeight() + decodeMs * CROWDING / e.limit());
         double zoneMs = e.info.zone().equals(zone) ? 0 : settings.zoneCostMs();
         double costMs = queueMs + rebuildMs + decodeMs + othersMs + zoneMs;
-        return new Route(e, miss, queueMs, rebuildMs, costMs, affinity(blocks));
+        return new Route(e, miss, queueMs, rebuildMs, costMs, blocks);
     }
 
-    private Affinity affinity(int blocks) {
+    /** Returns what the route that was chosen last means for the program's cache. */
+    Affinity affinity(Route route) {
         int most = 0;
         for (int held : heldBlocks) {
             most = Math.max(most, held);
@@ -188,7 +189,7 @@
         if (most == 0) {
             return Affinity.NONE;
         }
-        return blocks == most ? Affinity.KEPT : Affinity.YIELDED;
+        return route.heldBlocks == most ? Affinity.KEPT : Affinity.YIELDED;
     }
 
     /** Returns how long a call without any cache would wait inside the least loaded of a few engines. */
