--- a/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
+++ b/core/src/main/java/org/celerygw/core/routing/Dispatcher.java
@@ -31,9 +31,12 @@
     private static final long PREFIX_IDLE_MS = 600_000;
     private static final long NO_BACKEND_RETRY_MS = 1_000;
     private static final long MIN_RETRY_MS = 200;
+    private static final long SLOTS_MS = 1_000;
     private static final int MAX_BLOCKED = 32;
-    /** Engine priorities count tenths of a second from 2026-01-01 UTC; 32 bits last 6 years each way. */
-    private static final long PRIORITY_EPOCH_MS = 1_767_225_600_000L;
+    /** How much sooner the first calls of each lower class are refused. */
+    private static final long SHED_STEP = 8;
+    /** Engine priorities count tenths of a second from 2027-01-01 UTC; 32 bits last 6 years each way. */
+    private static final long PRIORITY_EPOCH_MS = 1_798_761_600_000L;
 
     private static final long PRIORITY_UNIT_MS = 100;
 
@@ -49,6 +52,8 @@
     private final Customers customers;
     private final Router router;
     private Map<PriorityClassName, ClassInfo> classes = Map.of();
+    private double slots = 1;
+    private long slotsUntilMs = Long.MIN_VALUE;
 
     /**
      * Makes a dispatcher that knows no engine yet.
@@ -98,6 +103,7 @@
                 .filter(e -> !listed.containsKey(e.info.id()))
                 .forEach(Engine::leave);
         listed.values().forEach(this::update);
+        slotsUntilMs = Long.MIN_VALUE;
         refreshRoutes();
     }
 
@@ -134,8 +140,9 @@
             long retryMs = Math.max(MIN_RETRY_MS, (long) usual.callMs());
             return refuse(item, ErrorCode.CUSTOMER_LIMIT, retryMs, "customer " + item.customer() + " is at its limit");
         }
-        long waitMs = expectedWaitMs(rank);
-        if (waitMs > patienceMs(item, nowMs)) {
+        boolean first = item.attainedTokens() == 0;
+        long waitMs = expectedWaitMs(rank) + (first ? router.engineWaitMs(item.model(), nowMs) : 0);
+        if (waitMs > patienceMs(item, rank, nowMs)) {
             return refuse(
                     item, ErrorCode.OVERLOADED, Math.max(MIN_RETRY_MS, waitMs), "expected wait " + waitMs + " ms");
         }
@@ -143,7 +150,7 @@
     }
 
     private Admission enqueue(WorkItem item, int rank, long waitMs, long nowMs) {
-        long aheadMs = customers.enter(item.customer(), usual.callMs(), slots(), nowMs);
+        long aheadMs = customers.enter(item.customer(), usual.callMs(), slots(nowMs), nowMs);
         Waiting waiting = new Waiting(item, rank, nowMs, orderMs(item, rank, aheadMs, nowMs));
         Waiting last = queue.last();
         if (queue.size() < settings.maxWaiting() || last == null) {
@@ -165,11 +172,13 @@
         return new Admission(code, retryAfterMs, line);
     }
 
-    /** A program under way waits as long as its caller does; a new one only if it can start soon. */
-    private long patienceMs(WorkItem item, long nowMs) {
+    /** A program under way waits as long as its caller does; a new one only if it starts soon, low classes first. */
+    private long patienceMs(WorkItem item, int rank, long nowMs) {
         long untilDeadlineMs = item.deadlineMs() - nowMs;
         boolean first = item.attainedTokens() == 0;
-        return first ? Math.min(untilDeadlineMs, settings.newProgramWaitMs()) : untilDeadlineMs;
+        return first
+                ? Math.min(untilDeadlineMs, settings.newProgramWaitMs() / (1 + SHED_STEP * rank))
+                : untilDeadlineMs;
     }
 
     private long expectedWaitMs(int rank) {
@@ -177,12 +186,17 @@
         return (long) (turnsAhead * usual.callMs());
     }
 
-    private double slots() {
-        double all = engines.values().stream()
-                .filter(Engine::takesWork)
-                .mapToDouble(Engine::limit)
-                .sum();
-        return Math.max(1, all / settings.fleetHosts());
+    /** The calls that this host can run at once; summed over all engines only now and then. */
+    private double slots(long nowMs) {
+        if (nowMs >= slotsUntilMs) {
+            double all = engines.values().stream()
+                    .filter(Engine::takesWork)
+                    .mapToDouble(Engine::limit)
+                    .sum();
+            slots = Math.max(1, all / settings.fleetHosts());
+            slotsUntilMs = nowMs + SLOTS_MS;
+        }
+        return slots;
     }
 
     private int rank(PriorityClassName name) {
@@ -248,21 +262,23 @@
         programs.started(item.program(), engine);
         prefixes.add(item.prefixHashes(), engine, nowMs);
         retries.started();
-        return new Decision.Start(item.ticket(), engine.info.id(), priority(w), line(w, route, nowMs));
+        return new Decision.Start(item.ticket(), engine.info.id(), priority(w, route), line(w, route, nowMs));
     }
 
-    private static int priority(Waiting w) {
-        long units = (w.orderMs() - PRIORITY_EPOCH_MS) / PRIORITY_UNIT_MS;
+    /** The engine's order: that of the queue, with a call that has little to compute before one that has much. */
+    private int priority(Waiting w, Router.Route route) {
+        double behindMs = Math.min((double) settings.prefillCapMs(), route.rebuildMs() * settings.prefillWeight());
+        long units = (w.orderMs() + (long) behindMs - PRIORITY_EPOCH_MS) / PRIORITY_UNIT_MS;
         return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, units));
     }
 
-    private static String line(Waiting w, Router.Route route, long nowMs) {
+    private String line(Waiting w, Router.Route route, long nowMs) {
         long wholeMs = (long) (w.item().promptTokens() * route.engine().prefillMs());
         return "route: program " + w.item().program() + " to engine "
                 + route.engine().info.id() + ": class "
                 + w.item().priorityClass() + ", waited " + (nowMs - w.offeredMs()) + " ms, queue "
                 + (long) route.queueMs() + " ms, rebuild " + (long) route.rebuildMs() + " ms of " + wholeMs + " ms, "
-                + route.affinity().text();
+                + router.affinity(route).text();
     }
 
     /**
@@ -356,7 +372,7 @@
         List<Long> hashes = f.item.prefixHashes();
         int blocks = hashes.size();
         if (blocks > 0) {
-            prefixes.add(hashes, f.engine, nowMs);
+            prefixes.used(hashes.get(blocks - 1), f.engine, nowMs);
             int answerBlocks = outputTokens / WorkItem.BLOCK_TOKENS;
             programs.answered(
                     f.item.program(), new Programs.Tail(f.engine, blocks, hashes.get(blocks - 1), answerBlocks));
@@ -398,10 +414,12 @@
      *
      * @param engine the engine
      * @param events the changes
+     * @param nowMs the time now
      */
-    public void cacheEvents(BackendServerId engine, CacheEvents events) {
+    public void cacheEvents(BackendServerId engine, CacheEvents events, long nowMs) {
         Engine e = engines.get(engine);
         if (e != null) {
+            prefixes.added(events.added(), e, nowMs);
             prefixes.removed(e, events.removed());
         }
     }
--- a/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
+++ b/core/src/main/java/org/celerygw/core/routing/PrefixIndex.java
@@ -7,15 +7,19 @@
 import java.util.function.ObjIntConsumer;
 
 /**
- * Which engines hold which prompt prefixes. Only some prefix lengths are kept, four in each doubling, and the whole
- * length of each prompt, so that the cost of a prompt grows with the logarithm of its length.
+ * Which engines hold which prompt prefixes, from what this host started and from the engines' news. Only a sample
+ * of the hashes is kept, and the last of each prompt that was started here.
  */
 final class PrefixIndex {
     private static final int MAX_HOLDERS = 16;
-    private static final int SWEEP_STEPS = 64;
+    private static final int SWEEP_STEPS = 256;
+    private static final long SWEEP_MS = 100;
+    /** One hash in eight is kept: an engine's prefix is known to within some 500 tokens. */
+    private static final long SAMPLE_MASK = 7;
 
     private final long idleMs;
-    private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>(1024, 0.75f, true);
+    private long nextSweepMs;
+    private final LinkedHashMap<Long, Holders> byHash = new LinkedHashMap<>();
 
     PrefixIndex(long idleMs) {
         this.idleMs = idleMs;
@@ -80,29 +84,51 @@
         }
     }
 
-    /** Returns the next shorter kept length, or 0. */
-    static int shorter(int blocks) {
-        if (blocks <= 8) {
-            return blocks - 1;
-        }
-        int step = Math.max(1, Integer.highestOneBit(blocks - 1) / 4);
-        return (blocks - 1) / step * step;
+    /** Every host keeps the same part of all hashes, so that the engines' news can be filtered without looking up. */
+    private static boolean sampled(long hash) {
+        return (hash & SAMPLE_MASK) == 0;
     }
 
+    /** An engine computes this prompt and so holds its prefix. */
     void add(List<Long> hashes, Engine engine, long nowMs) {
-        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
-            byHash.computeIfAbsent(hashes.get(blocks - 1), h -> new Holders()).put(engine, nowMs);
+        for (int i = 0; i < hashes.size(); i++) {
+            Long hash = hashes.get(i);
+            if (i == hashes.size() - 1 || sampled(hash)) {
+                put(hash, engine, nowMs);
+            }
+        }
+        sweep(nowMs);
+    }
+
+    /** An engine has just finished with the prompt that ends in this hash. */
+    void used(Long hash, Engine engine, long nowMs) {
+        put(hash, engine, nowMs);
+    }
+
+    /** An engine says that it holds these blocks. */
+    void added(List<Long> hashes, Engine engine, long nowMs) {
+        for (Long hash : hashes) {
+            if (sampled(hash)) {
+                put(hash, engine, nowMs);
+            }
         }
         sweep(nowMs);
     }
 
+    private void put(Long hash, Engine engine, long nowMs) {
+        byHash.computeIfAbsent(hash, h -> new Holders()).put(engine, nowMs);
+    }
+
     /**
      * Calls back for each engine that holds a prefix of the prompt, with the blocks held; the longest comes first
      * and an engine may come again with fewer.
      */
     void match(List<Long> hashes, long nowMs, ObjIntConsumer<Engine> found) {
-        for (int blocks = hashes.size(); blocks > 0; blocks = shorter(blocks)) {
-            report(hashes.get(blocks - 1), blocks, nowMs, found);
+        for (int i = hashes.size() - 1; i >= 0; i--) {
+            Long hash = hashes.get(i);
+            if (i == hashes.size() - 1 || sampled(hash)) {
+                report(hash, i + 1, nowMs, found);
+            }
         }
     }
 
@@ -133,15 +159,18 @@
         }
     }
 
-    /** Drops a few of the entries idle longest, so that the index stays bounded by what is in use. */
+    /** Looks at a few of the oldest entries: those idle go, those in use get another turn. */
     private void sweep(long nowMs) {
-        var eldest = byHash.entrySet().iterator();
-        for (int i = 0; i < SWEEP_STEPS && eldest.hasNext(); i++) {
-            Map.Entry<Long, Holders> entry = eldest.next();
-            if (nowMs - entry.getValue().lastMs < idleMs) {
-                return;
+        if (nowMs < nextSweepMs || byHash.isEmpty()) {
+            return;
+        }
+        for (int i = 0; i < SWEEP_STEPS && !byHash.isEmpty(); i++) {
+            Map.Entry<Long, Holders> eldest = byHash.entrySet().iterator().next();
+            byHash.remove(eldest.getKey());
+            if (nowMs - eldest.getValue().lastMs < idleMs) {
+                byHash.put(eldest.getKey(), eldest.getValue());
             }
-            eldest.remove();
         }
+        nextSweepMs = nowMs + SWEEP_MS;
     }
 }
--- a/core/src/main/java/org/celerygw/core/routing/Router.java
+++ b/core/src/main/java/org/celerygw/core/routing/Router.java
@@ -14,6 +14,8 @@
  * that the engine's cache lacks, and the slower decoding of a fuller batch.
  */
 final class Router {
+    /** A prompt with this much to compute waits for all of an engine's queue. */
+    private static final double LONG_PROMPT_TOKENS = 2_000;
     /** How much longer a token takes in a full batch than in an empty one. */
     private static final double CROWDING = 0.25;
     /** A call with the whole batch before it waits about this part of a usual call for each place. */
@@ -65,7 +67,7 @@
     }
 
     /** An engine weighed for a call. */
-    record Route(Engine engine, int missTokens, double queueMs, double rebuildMs, double costMs, Affinity affinity) {}
+    record Route(Engine engine, int missTokens, double queueMs, double rebuildMs, double costMs, int heldBlocks) {}
 
     void setEngines(List<Engine> engines) {
         byModel.clear();
@@ -165,17 +167,21 @@
 
     private Route weigh(WorkItem item, Engine e, int blocks, long nowMs) {
         int miss = Math.max(1, item.promptTokens() - blocks * WorkItem.BLOCK_TOKENS);
-        double queueMs = e.queuedTokens(nowMs) * e.prefillMs() + slotWaitMs(e);
+        // Engines compute short prompts first, so that a short one passes most of the queue.
+        double passed = Math.min(1, miss / LONG_PROMPT_TOKENS);
+        double queueMs = e.queuedTokens(nowMs) * e.prefillMs() * passed + slotWaitMs(e);
         double rebuildMs = miss * e.prefillMs();
-        double fullness = e.calls() / e.limit();
         double outputTokens = Math.min(item.maxOutputTokens(), usual.outputTokens());
-        double decodeMs = outputTokens * e.tokenMs(usual.tokenMs(), nowMs) * (1 + CROWDING * fullness);
+        double decodeMs = outputTokens * e.tokenMs(usual.tokenMs(), nowMs);
+        // The calls already in the batch lose time as well: to each step's prefill, and to a fuller batch.
+        double othersMs = e.calls() * (rebuildMs * settings.rebuildWeight() + decodeMs * CROWDING / e.limit());
         double zoneMs = e.info.zone().equals(zone) ? 0 : settings.zoneCostMs();
-        double costMs = queueMs + rebuildMs * settings.rebuildWeight() + decodeMs + zoneMs;
-        return new Route(e, miss, queueMs, rebuildMs, costMs, affinity(blocks));
+        double costMs = queueMs + rebuildMs + decodeMs + othersMs + zoneMs;
+        return new Route(e, miss, queueMs, rebuildMs, costMs, blocks);
     }
 
-    private Affinity affinity(int blocks) {
+    /** Returns what the route that was chosen last means for the program's cache. */
+    Affinity affinity(Route route) {
         int most = 0;
         for (int held : heldBlocks) {
             most = Math.max(most, held);
@@ -183,7 +189,18 @@
         if (most == 0) {
             return Affinity.NONE;
         }
-        return blocks == most ? Affinity.KEPT : Affinity.YIELDED;
+        return route.heldBlocks == most ? Affinity.KEPT : Affinity.YIELDED;
+    }
+
+    /** Returns how long a call without any cache would wait inside the least loaded of a few engines. */
+    long engineWaitMs(ModelName model, long nowMs) {
+        List<Engine> all = serving(model);
+        double leastMs = Double.MAX_VALUE;
+        for (int i = 0; i < settings.choices(); i++) {
+            Engine e = all.get(rng.nextInt(all.size()));
+            leastMs = Math.min(leastMs, e.queuedTokens(nowMs) * e.prefillMs() + slotWaitMs(e));
+        }
+        return (long) leastMs;
     }
 
     private double slotWaitMs(Engine e) {
