--- a/cli/src/main/java/org/celerygw/cli/Tools.java
+++ b/cli/src/main/java/org/celerygw/cli/Tools.java
@@ -14,6 +14,7 @@
         ALL.put("standin", new Tool("run stand-ins for the platform, engines and tool services", StandinTool::run));
         ALL.put("bench", new Tool("measure what a daemon adds to a call", BenchTool::run));
         ALL.put("demo", new Tool("run the whole system in one process and kill a daemon", DemoTool::run));
+        ALL.put("experiment", new Tool("compare policies, or measure membership, in model time", ExperimentTool::run));
         ALL.put("load", new Tool("drive programs through running daemons and audit them", LoadTool::run));
     }
 
--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -223,7 +223,8 @@
                     store.objects(),
                     sender,
                     this::deposed,
-                    decisions));
+                    decisions,
+                    e -> metrics.spent(e.customer(), e.tokens())));
             links = new PeerLinks(
                     peerSettings(),
                     MembershipKeys.single(Fleet.bytes(settings.peer().key())),
--- a/daemon/src/main/java/org/celerygw/daemon/backend/Connections.java
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/Connections.java
@@ -62,13 +62,13 @@
         if (!model.program().isEmpty()) {
             options.putHeader("X-Program", model.program());
         }
-        return pooled.request(options);
+        return request(pooled, options);
     }
 
     Future<HttpClientRequest> resumeModel(ModelRequest model, int afterEvent) {
         long waitMs = settings.silenceMs() / 2;
         String path = requestPath(model) + "?after=" + afterEvent + "&wait_ms=" + waitMs;
-        return fresh.request(to(model.address(), HttpMethod.GET, path));
+        return request(fresh, to(model.address(), HttpMethod.GET, path));
     }
 
     /** Tells the engine to stop a request; the engine's memory is released in any case when the program ends. */
@@ -109,6 +109,15 @@
         return Future.join(pooled.close(), fresh.close()).mapEmpty();
     }
 
+    /** Begins a request; a client that was closed meanwhile throws, which counts as a lost connection. */
+    private static Future<HttpClientRequest> request(HttpClient client, RequestOptions options) {
+        try {
+            return client.request(options);
+        } catch (IllegalStateException e) {
+            return Future.failedFuture(e);
+        }
+    }
+
     private RequestOptions to(BackendAddress address, HttpMethod method, String path) {
         return new RequestOptions()
                 .setMethod(method)
--- a/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/CallSender.java
@@ -80,6 +80,11 @@
         tools.abort(call);
     }
 
+    @Override
+    public void askOutcome(Effect.AskOutcome ask, Consumer<Event.OutcomeFound> done) {
+        tools.askOutcome(ask, done);
+    }
+
     @Override
     public void release(ProgramId program) {
         models.release(program);
--- a/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
@@ -48,11 +48,18 @@
     private void takeEvents(BackendServerId id, List<CacheEvent> events) {
         long last = events.get(events.size() - 1).number();
         lastEvents.put(id, last);
-        List<Long> removed = events.stream()
-                .filter(e -> !e.stored())
+        parts.dispatcher()
+                .cacheEvents(
+                        id,
+                        new CacheEvents(last, hashes(events, true), hashes(events, false)),
+                        parts.clock().nowMs());
+    }
+
+    private static List<Long> hashes(List<CacheEvent> events, boolean stored) {
+        return events.stream()
+                .filter(e -> e.stored() == stored)
                 .map(CacheEvent::blockHash)
                 .toList();
-        parts.dispatcher().cacheEvents(id, new CacheEvents(last, removed));
     }
 
     void releases() {
--- a/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/ToolSender.java
@@ -1,5 +1,7 @@
 package org.celerygw.daemon.send;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -14,6 +16,7 @@
 import org.celerygw.core.gen.config.Configuration;
 import org.celerygw.core.gen.config.Service;
 import org.celerygw.core.id.CallId;
+import org.celerygw.core.id.IdempotencyKey;
 import org.celerygw.core.owner.Effect;
 import org.celerygw.core.owner.Event;
 import org.celerygw.daemon.backend.BackendAddress;
@@ -115,7 +118,7 @@
                         new ToolRequest(
                                 new BackendAddress(service.getHost(), service.getPort()),
                                 "/" + service.getName() + call.path(),
-                                serviceKey(call),
+                                serviceKey(call.id(), call.key()),
                                 "application/json",
                                 call.body(),
                                 timeoutMs,
@@ -123,9 +126,25 @@
                         outcome -> answered(gate, flight, outcome));
     }
 
+    /** Asks the service whether a call in doubt ran; says nothing where the service can't tell. */
+    void askOutcome(Effect.AskOutcome ask, Consumer<Event.OutcomeFound> done) {
+        Gate gate = gates.get(ask.target());
+        if (gate == null || gate.service.getOutcomePath().isEmpty()) {
+            return;
+        }
+        String key = URLEncoder.encode(serviceKey(ask.call(), ask.key()), StandardCharsets.UTF_8);
+        note("route: call " + ask.call() + ": asking service " + ask.target() + " whether it ran.");
+        parts.backends()
+                .toolOutcome(
+                        new BackendAddress(gate.service.getHost(), gate.service.getPort()),
+                        gate.service.getOutcomePath() + key,
+                        found -> found.ifPresent(
+                                o -> done.accept(new Event.OutcomeFound(ask.call(), ask.attempt(), o))));
+    }
+
     /** Returns the key that the service sees: the same for every try of a call, another for any other call. */
-    private static String serviceKey(CallRequest call) {
-        return call.customer() + ":" + call.id().program() + ":" + call.id().number() + ":" + call.key();
+    private static String serviceKey(CallId call, IdempotencyKey key) {
+        return call.program() + ":" + call.number() + ":" + key;
     }
 
     private void answered(Gate gate, Flight flight, Outcome outcome) {
--- a/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
+++ b/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
@@ -45,6 +45,7 @@
     private final Sender sender;
     private final Runnable onDeposed;
     private final Consumer<String> decisions;
+    private final Consumer<Effect.Spent> spent;
     private final Deque<Event> inbox = new ArrayDeque<>();
     private final Map<ReplyTag, Waiting> waiting = new HashMap<>();
     private final Map<CallId, Map<ReplyTag, Waiting>> byCall = new HashMap<>();
@@ -67,6 +68,7 @@
      * @param sender sends calls to back ends
      * @param onDeposed told when this host must stop owning
      * @param decisions given each decision line
+     * @param spent told what customers spent here
      */
     public record Parts(
             Context context,
@@ -76,7 +78,8 @@
             ObjectStore objects,
             Sender sender,
             Runnable onDeposed,
-            Consumer<String> decisions) {}
+            Consumer<String> decisions,
+            Consumer<Effect.Spent> spent) {}
 
     /**
      * Makes a host for an owner.
@@ -92,6 +95,7 @@
         this.sender = parts.sender();
         this.onDeposed = parts.onDeposed();
         this.decisions = parts.decisions();
+        this.spent = parts.spent();
     }
 
     /**
@@ -247,6 +251,10 @@
             sender.abort(e.call(), e.attempt());
         } else if (effect instanceof Effect.Reply e) {
             reply(e);
+        } else if (effect instanceof Effect.AskOutcome e) {
+            sender.askOutcome(e, this::tell);
+        } else if (effect instanceof Effect.Spent e) {
+            spent.accept(e);
         } else if (effect instanceof Effect.ReleaseCache e) {
             sender.release(e.program());
         } else if (effect instanceof Effect.Log e) {
--- a/daemon/src/main/java/org/celerygw/daemon/work/Sender.java
+++ b/daemon/src/main/java/org/celerygw/daemon/work/Sender.java
@@ -27,6 +27,14 @@
      */
     void abort(CallId call, long attempt);
 
+    /**
+     * Asks a service whether a call in doubt ran.
+     *
+     * @param ask the call
+     * @param done told what the service proves; not called when it can't tell
+     */
+    void askOutcome(Effect.AskOutcome ask, Consumer<Event.OutcomeFound> done);
+
     /**
      * Releases what engines hold for a program.
      *
--- a/standin/src/main/java/org/celerygw/standin/ToolServer.java
+++ b/standin/src/main/java/org/celerygw/standin/ToolServer.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -91,7 +92,7 @@
             executions.forEach(execution -> all.add(execution.toJson()));
             exchange.json(200, new JsonObject().put("executions", all));
         } else if (path.startsWith("/outcomes/")) {
-            outcome(exchange, path.substring(OUTCOME_KEY_START));
+            outcome(exchange, URLDecoder.decode(path.substring(OUTCOME_KEY_START), StandardCharsets.UTF_8));
         } else if (exchange.is(HttpMethod.POST) && path.indexOf('/', 1) > 0) {
             front.later(faults.takeDelayMs(), () -> run(exchange));
         } else {
