--- a/cli/src/main/java/org/celerygw/cli/bench/package-info.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/package-info.java
@@ -1,4 +1,4 @@
-/** Measurements whose results the capacity page is computed from. */
+/** Measurements: what a daemon adds to a call, and what membership and configuration cost a fleet. */
 @NullMarked
 package org.celerygw.cli.bench;
 
--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -379,7 +379,7 @@
                 done.accept(Optional.empty());
                 return;
             }
-            HostId peer = others.get((int) (Math.floorMod(clock.nowMs(), (long) others.size())))
+            HostId peer = others.get((int) Math.floorMod(clock.nowMs(), (long) others.size()))
                     .host();
             ByteString request = ByteString.copyFromUtf8(Long.toString(version));
             peers.send(
@@ -463,7 +463,7 @@
 
             @Override
             public boolean handedOver() {
-                return owner.slotsOwned() == 0;
+                return owner.isDrained();
             }
 
             @Override
