--- a/cli/src/main/java/org/celerygw/cli/bench/package-info.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/package-info.java
@@ -1,4 +1,4 @@
-/** The benchmark: what a daemon adds to a call, measured beside the same call sent directly. */
+/** Benchmarks: what a daemon adds to a call, the cost of a decision, and what membership costs a fleet. */
 @NullMarked
 package org.celerygw.cli.bench;
 
