--- a/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
@@ -143,6 +143,26 @@
                 .toList();
     }
 
+    /**
+     * Returns where the tool services listen.
+     *
+     * @return their address
+     */
+    public URI toolsUri() {
+        return URI.create("http://127.0.0.1:" + standin.tools().port());
+    }
+
+    /**
+     * Returns where the engines listen.
+     *
+     * @return an address for each engine
+     */
+    public List<URI> engineUris() {
+        return standin.engines().stream()
+                .map(e -> URI.create("http://127.0.0.1:" + e.port()))
+                .toList();
+    }
+
     /**
      * Accepts a configuration through the first daemon.
      *
--- a/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
+++ b/daemon/src/main/java/org/celerygw/daemon/work/OwnerHost.java
@@ -184,6 +184,15 @@
         return owner.slotsOwned();
     }
 
+    /**
+     * Returns whether every slot has been handed over after {@link Event.Draining}.
+     *
+     * @return true when this host may leave
+     */
+    public boolean isDrained() {
+        return owner.isDrained();
+    }
+
     /**
      * Returns whether a program in a slot of this host has not ended.
      *
