Pass stored blocks to the dispatcher with the removed ones

Change: EngineWatch passes both lists, the last event of a block deciding. Conclusion: compiles again.

--- a/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
+++ b/daemon/src/main/java/org/celerygw/daemon/send/EngineWatch.java
@@ -1,6 +1,7 @@
 package org.celerygw.daemon.send;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -48,11 +49,21 @@
     private void takeEvents(BackendServerId id, List<CacheEvent> events) {
         long last = events.get(events.size() - 1).number();
         lastEvents.put(id, last);
-        List<Long> removed = events.stream()
-                .filter(e -> !e.stored())
-                .map(CacheEvent::blockHash)
+        // The last event of a block counts: it may have been stored and evicted in one batch.
+        Map<Long, Boolean> held = new LinkedHashMap<>();
+        events.forEach(e -> held.put(e.blockHash(), e.stored()));
+        parts.dispatcher()
+                .cacheEvents(
+                        id,
+                        new CacheEvents(last, blocks(held, true), blocks(held, false)),
+                        parts.clock().nowMs());
+    }
+
+    private static List<Long> blocks(Map<Long, Boolean> held, boolean stored) {
+        return held.entrySet().stream()
+                .filter(e -> e.getValue() == stored)
+                .map(Map.Entry::getKey)
                 .toList();
-        parts.dispatcher().cacheEvents(id, new CacheEvents(last, removed));
     }
 
     void releases() {
