--- a/core/src/test/java/org/celerygw/core/routing/DispatcherFuzzTest.java
+++ b/core/src/test/java/org/celerygw/core/routing/DispatcherFuzzTest.java
@@ -59,11 +59,23 @@
                 case 4 -> finish(false);
                 case 5 -> leave(new BackendServerId("e" + arg % ENGINES), arg);
                 case 6 -> end(new ProgramId("p" + arg % PROGRAMS));
-                default -> configure();
+                default -> configureOrConfirm(arg);
             }
             start();
         }
 
+        /** Confirms releases while other calls of the same program may still be running. */
+        void configureOrConfirm(int arg) {
+            if (arg % 2 == 0) {
+                configure();
+                return;
+            }
+            dispatcher.releases(nowMs).forEach(r -> {
+                held.remove(r);
+                dispatcher.released(r.engine(), r.program());
+            });
+        }
+
         void offer(ProgramId program) {
             if (ended.contains(program)) {
                 return;
@@ -90,7 +102,6 @@
             for (Decision d : dispatcher.next(nowMs)) {
                 if (d instanceof Decision.Start s) {
                     ok &= !leaving.contains(s.engine());
-                    // The oracle finds the program by its ticket: calls start at once here or wait in order.
                     Release memory = new Release(s.engine(), programOf(s.line()));
                     running.put(s.ticket(), memory);
                     held.add(memory);
