--- a/core/src/main/java/org/celerygw/core/owner/Slots.java
+++ b/core/src/main/java/org/celerygw/core/owner/Slots.java
@@ -247,13 +247,16 @@
             }
             rows.add(new Ownership.Claim(c.slot(), row.build()));
         });
-        if (!ownership.rewrite(rows, this::released)) {
+        if (!ownership.rewrite(rows, landed -> released(quiet, landed))) {
             retryRelease = () -> release(quiet, pointer);
         }
     }
 
-    private void released(List<Ownership.Claim> rows) {
+    private void released(List<Ownership.Claim> quiet, List<Ownership.Claim> rows) {
         moving = false;
+        // What was not released is served on and tried again.
+        quiet.forEach(c -> active.add(c.slot()));
+        rows.forEach(c -> active.remove(c.slot()));
         rows.forEach(c -> {
             recorder.programs().drop(c.slot());
             held.remove(c.slot());
--- a/core/src/main/java/org/celerygw/core/ownership/Ownership.java
+++ b/core/src/main/java/org/celerygw/core/ownership/Ownership.java
@@ -305,6 +305,9 @@
     }
 
     private void own(List<Claim> claims) {
+        if (claims.isEmpty()) {
+            return;
+        }
         claims.forEach(c -> mine.put(c.slot(), c.row()));
         lacking = null;
         settled = null;
@@ -349,13 +352,17 @@
             return;
         }
         result.found().stream().filter(Row::exists).forEach(this::learn);
-        // An earlier copy of this write may have landed: its rows are then as this host wrote them.
-        List<Claim> landed = w.rows().stream()
-                .filter(r -> at(r.slot()).row().equals(r.row()))
-                .toList();
-        if (!landed.isEmpty()) {
-            w.done().accept(landed);
-        }
+        List<Claim> landed = w.rows().stream().filter(this::hasLanded).toList();
+        log.accept("owner: " + landed.size() + " of " + w.rows().size() + " slot rows were written before a conflict");
+        w.done().accept(landed);
+    }
+
+    /** An earlier copy of a write may have landed, and others may have claimed since what it released. */
+    private boolean hasLanded(Claim wanted) {
+        SlotRow now = at(wanted.slot()).row();
+        boolean claimedSince = wanted.row().getOwner().isEmpty()
+                && now.getEpoch() > wanted.row().getEpoch();
+        return claimedSince || now.equals(wanted.row());
     }
 
     private void poll() {
--- a/standin/src/main/java/org/celerygw/standin/world/Caller.java
+++ b/standin/src/main/java/org/celerygw/standin/world/Caller.java
@@ -76,7 +76,7 @@
 
     /** Makes the next call, or goes on with the one whose fate is not known. */
     void call(boolean repeatable) {
-        if (waiting || ended) {
+        if (waiting || (ended && pending == null)) {
             return;
         }
         if (!created) {
@@ -156,6 +156,7 @@
 
     private void took(CallRequest call, Request request, @Nullable Outcome outcome) {
         if (outcome == null || outcome.code() == ErrorCode.NOT_OWNER) {
+            world.log("caller " + call.id() + ": " + (outcome == null ? "nothing came back" : World.show(outcome)));
             return;
         }
         world.log("caller " + call.id() + ": " + World.show(outcome));
@@ -168,7 +169,7 @@
             number++;
         } else if (outcome.code() == ErrorCode.OUTCOME_UNKNOWN) {
             inDoubt = true;
-        } else if (outcome.code() == ErrorCode.PROGRAM_ENDED || outcome.code() == ErrorCode.DAMAGED) {
+        } else if (isFinal(outcome.code())) {
             ended = true;
             pending = null;
         } else if (outcome.runState() == RunState.NOT_RUN) {
@@ -176,6 +177,10 @@
         }
     }
 
+    private static boolean isFinal(@Nullable ErrorCode code) {
+        return code == ErrorCode.PROGRAM_ENDED || code == ErrorCode.DAMAGED || code == ErrorCode.BUDGET_EXCEEDED;
+    }
+
     /** Sends one of the answered requests again; it must get the same answer. */
     void repeatAnswered() {
         if (!answered.isEmpty()) {
@@ -232,6 +237,9 @@
         waiting = true;
         world.ask(program(), tag -> new Event.Settled(p.id(), found, answer, "operator", tag), SILENCE_MS, outcome -> {
             waiting = false;
+            if (outcome != null && (outcome.isAnswer() || outcome.code() == ErrorCode.CONFLICT)) {
+                inDoubt = false;
+            }
             if (outcome != null && outcome.isAnswer()) {
                 world.log("operator settled " + p.id() + " as " + found);
                 world.oracle().ended(p.id());
