--- a/core/src/main/java/org/celerygw/core/ownership/Ownership.java
+++ b/core/src/main/java/org/celerygw/core/ownership/Ownership.java
@@ -345,9 +345,9 @@
         }
         write = null;
         if (result.status() == TxnResult.Status.COMMITTED) {
-            w.rows()
-                    .forEach(r ->
-                            known[r.slot().number()] = new Known(at(r.slot()).version() + 1, r.row()));
+            for (int i = 0; i < w.rows().size(); i++) {
+                learnWritten(w.txn().conditions().get(i), w.txn().changes().get(i));
+            }
             w.done().accept(w.rows());
             return;
         }
@@ -357,6 +357,11 @@
         w.done().accept(landed);
     }
 
+    /** A poll may have read the row since it was written, or even a later one. */
+    private void learnWritten(Txn.Condition condition, Txn.Change change) {
+        learn(new Row(condition.key(), condition.version() + 1, change.value()));
+    }
+
     /** An earlier copy of a write may have landed, and others may have claimed since what it released. */
     private boolean hasLanded(Claim wanted) {
         SlotRow now = at(wanted.slot()).row();
