--- a/core/src/main/java/org/celerygw/core/journal/Journal.java
+++ b/core/src/main/java/org/celerygw/core/journal/Journal.java
@@ -43,6 +43,7 @@
     private long durable;
     private long headVersion;
     private long writeNumber;
+    private long confirmedMs = Long.MIN_VALUE / 2;
     private long committedNumber;
     private long seq;
     private SnapshotPointer snapshot = SnapshotPointer.getDefaultInstance();
@@ -294,6 +295,7 @@
     private void committed(Flight f, long version) {
         headVersion = version;
         committedNumber = f.number;
+        confirmedMs = lastStartMs;
         seq = f.seq;
         opened = true;
         flight = null;
@@ -331,6 +333,15 @@
         return opened && !stopped;
     }
 
+    /**
+     * Returns when the last write that took effect was begun; nobody counts a lease from an earlier time.
+     *
+     * @return by this host's clock, in milliseconds since 1970
+     */
+    public long confirmedMs() {
+        return confirmedMs;
+    }
+
     /**
      * Returns the last durable batch.
      *
--- a/core/src/main/java/org/celerygw/core/owner/Io.java
+++ b/core/src/main/java/org/celerygw/core/owner/Io.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.celerygw.core.call.Outcome;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.RunState;
 import org.celerygw.core.store.ObjectStore;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
@@ -13,6 +16,8 @@
 
 /** Turns calls of the store into effects, and the events that answer them into calls back. */
 final class Io implements Table, ObjectStore {
+    private static final long RETRY_HINT_MS = 500;
+
     private final Map<Long, Consumer<TxnResult>> writes = new HashMap<>();
     private final Map<Long, Consumer<Answer>> reads = new HashMap<>();
     private final Map<Long, Consumer<Boolean>> puts = new HashMap<>();
@@ -28,6 +33,20 @@
         emit(new Effect.Log(line));
     }
 
+    /** Replaces refusals of one caller that a host which may have lost its slots can't vouch for. */
+    void doubt(ReplyTag tag) {
+        effects.replaceAll(e -> e instanceof Effect.Reply r && r.tag().equals(tag) ? doubt(r) : e);
+    }
+
+    private static Effect doubt(Effect.Reply r) {
+        if (r.outcome().runState() != RunState.NOT_RUN) {
+            return r;
+        }
+        String message = "this host can't confirm now that it owns the program";
+        return new Effect.Reply(
+                r.tag(), Outcome.failed(ErrorCode.STORE_UNAVAILABLE, RunState.UNKNOWN, RETRY_HINT_MS, message));
+    }
+
     List<Effect> take() {
         List<Effect> taken = effects;
         effects = new ArrayList<>();
--- a/core/src/main/java/org/celerygw/core/owner/Owner.java
+++ b/core/src/main/java/org/celerygw/core/owner/Owner.java
@@ -35,6 +35,8 @@
     private final Recorder recorder;
     private final Replay replay;
     private final Slots slots;
+    private final long leaseMs;
+    private long nowMs;
     private boolean begun;
     private boolean deposed;
 
@@ -46,6 +48,7 @@
      */
     public Owner(HostId host, OwnerSettings settings) {
         this.host = host;
+        this.leaseMs = settings.leaseMs();
         Contents contents = new Contents(io, io);
         journal = new Journal(host, io, io, settings.pace(), this::depose);
         ownership = new Ownership(host, io, settings.lease(), journal::nextSeq, this::claimed, io::log);
@@ -76,6 +79,7 @@
      * @return what to do, in order
      */
     public List<Effect> handle(Event event, long nowMs) {
+        this.nowMs = nowMs;
         calls.at(nowMs);
         lifecycle.at(nowMs);
         dispatch(event, nowMs);
@@ -152,6 +156,9 @@
         String damage = slots.damage(slot);
         if (owns(slot) && damage.isEmpty()) {
             here.run();
+            if (nowMs - journal.confirmedMs() >= leaseMs) {
+                io.doubt(tag);
+            }
             return;
         }
         if (owns(slot)) {
