--- a/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
+++ b/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
@@ -224,10 +224,11 @@
         world.store().delay(5);
         world.backend().faults(0, 0, 0);
         world.live().forEach(WorldHost::resume);
-        if (world.live().stream().allMatch(WorldHost::isDraining)) {
-            world.startHost();
-        }
         for (long waited = 0; waited < HEAL_MS && !isSettled(); waited += 500) {
+            // A host that finds itself deposed restarts under a new id.
+            if (world.live().stream().allMatch(WorldHost::isDraining)) {
+                world.startHost();
+            }
             world.callers().stream().filter(c -> !c.isSettled()).forEach(this::goOn);
             world.time().run(500);
         }
