--- a/core/src/main/java/org/celerygw/core/journal/Journal.java
+++ b/core/src/main/java/org/celerygw/core/journal/Journal.java
@@ -46,6 +46,7 @@
     private long durable;
     private long headVersion;
     private long writeNumber;
+    private long confirmedMs = Long.MIN_VALUE / 2;
     private long committedNumber;
     private long seq;
     private SnapshotPointer snapshot = SnapshotPointer.getDefaultInstance();
@@ -304,6 +305,7 @@
     private void committed(Flight f, long version) {
         headVersion = version;
         committedNumber = f.number;
+        confirmedMs = lastStartMs;
         seq = f.seq;
         opened = true;
         flight = null;
@@ -341,6 +343,15 @@
         return opened && !stopped;
     }
 
+    /**
+     * Returns when the last write that took effect was begun; nobody counts a lease from an earlier time.
+     *
+     * @return by this host's clock, in milliseconds since 1970
+     */
+    public long confirmedMs() {
+        return confirmedMs;
+    }
+
     /**
      * Returns the last durable batch.
      *
