--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
-"""Recomputes the member role's tables of docs/CAPACITY.md from docs/figures/*.csv.
+"""Recomputes the measured tables of docs/CAPACITY.md from docs/figures/*.csv.
 
-Prints Markdown; the page holds this output between its markers. `--write` replaces it there.
+Prints Markdown; the page holds it between its markers. `--write` replaces it there.
 """
 
 import csv
@@ -12,6 +12,7 @@
 FIGURES = ROOT / "docs" / "figures"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN, END = "<!-- member tables: begin -->", "<!-- member tables: end -->"
+OWNER_BEGIN, OWNER_END = "<!-- owner tables: begin -->", "<!-- owner tables: end -->"
 TARGET_MEMBERS = 420
 
 
@@ -81,21 +82,45 @@
     )
 
 
-def main():
+def owner():
+    """The tables of state.csv, which holds one CSV table after the other."""
+    lines = [line for line in (FIGURES / "state.csv").read_text().splitlines() if line and not line.startswith("#")]
+    for line in lines:
+        cells = line.split(",")
+        if not cells[1].isdigit():
+            print()
+        print("| " + " | ".join(cells).replace("_", " ") + " |")
+        if not cells[1].isdigit():
+            print("|" + "---|" * len(cells))
+
+
+def fill(page, begin, end, text):
+    head, rest = page.split(begin, 1)
+    return head + begin + "\n" + text.strip() + "\n" + end + rest.split(end, 1)[1]
+
+
+def printed(part):
     import contextlib
     import io
 
     out = io.StringIO()
     with contextlib.redirect_stdout(out):
-        for title, part in [("Control for each daemon", cost), ("Finding a dead daemon", detect), ("Spread of a configuration", spread)]:
-            print(f"#### {title}\n")
-            part()
+        part()
+    return out.getvalue()
+
+
+def member():
+    for title, part in [("Control for each daemon", cost), ("Finding a dead daemon", detect), ("Spread of a configuration", spread)]:
+        print(f"#### {title}\n")
+        part()
+
+
+def main():
     if "--write" not in sys.argv:
-        print(out.getvalue(), end="")
+        print(printed(member) + printed(owner), end="")
         return
-    page = PAGE.read_text()
-    head, rest = page.split(BEGIN, 1)
-    PAGE.write_text(head + BEGIN + "\n" + out.getvalue().rstrip() + "\n" + END + rest.split(END, 1)[1])
+    page = fill(PAGE.read_text(), BEGIN, END, printed(member))
+    PAGE.write_text(fill(page, OWNER_BEGIN, OWNER_END, printed(owner)))
 
 
 if __name__ == "__main__":
