--- a/cli/src/main/java/org/celerygw/cli/load/Balancer.java
+++ b/cli/src/main/java/org/celerygw/cli/load/Balancer.java
@@ -1,5 +1,6 @@
 package org.celerygw.cli.load;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -40,6 +41,7 @@
                 .orElseGet(() -> hosts.get(Math.floorMod(from, hosts.size())));
     }
 
+    /** Asks one host; a client that was closed at the end of the run counts as no answer. */
     private void poll(URI host) {
         RequestOptions ready = new RequestOptions()
                 .setMethod(HttpMethod.GET)
@@ -48,7 +50,8 @@
                 .setURI("/ready")
                 .setConnectTimeout(POLL_TIMEOUT_MS)
                 .setIdleTimeout(POLL_TIMEOUT_MS);
-        client.request(ready)
+        Future.succeededFuture()
+                .compose(v -> client.request(ready))
                 .compose(r -> r.send())
                 .map(response -> response.statusCode() == 200)
                 .otherwise(false)
