Build the table of caller keys once for each configuration

Cause: every request built the table of all customers' key hashes anew, work on the hot path that grows with customers (1,800 at the target). Change: CallerServer keeps the table with the configuration it came from; an unchanged configuration is the same object, so the comparison is one reference. Conclusion: behaviour stays; a new configuration's keys hold at the next request.

--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -46,6 +46,8 @@
     private final AtomicInteger underWay = new AtomicInteger();
     private final AtomicInteger connections = new AtomicInteger();
     private final HttpServer server;
+    private Configuration keysOf = Configuration.getDefaultInstance();
+    private CallerKeys keys = new CallerKeys(keysOf);
 
     /**
      * What the server works with.
@@ -169,6 +171,16 @@
                 .end(report.body().toBuffer());
     }
 
+    /** Returns the keys of the configuration in force; they are hashed into a table once for each version. */
+    private CallerKeys keys() {
+        Configuration inForce = parts.configuration().get();
+        if (!inForce.equals(keysOf)) {
+            keysOf = inForce;
+            keys = new CallerKeys(inForce);
+        }
+        return keys;
+    }
+
     private io.vertx.core.Handler<RoutingContext> guard(BiConsumer<RoutingContext, CustomerId> handler) {
         return c -> {
             try {
@@ -177,8 +189,7 @@
                     HttpResponder.refuse(c.response(), refusal);
                     return;
                 }
-                CustomerId who = new CallerKeys(parts.configuration().get())
-                        .customer(c.request().getHeader("Authorization"));
+                CustomerId who = keys().customer(c.request().getHeader("Authorization"));
                 handler.accept(c, who);
             } catch (GatewayException e) {
                 fail(c, e);
