--- a/cli/src/main/java/org/celerygw/cli/bench/FleetBench.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/FleetBench.java
@@ -20,7 +20,9 @@
 public final class FleetBench {
     private static final Map<String, Experiment> EXPERIMENTS = Map.of(
             "cost", CostExperiment::run,
-            "detect", DetectExperiment::run);
+            "detect", DetectExperiment::run,
+            "spread", SpreadExperiment::run,
+            "silent", SilentExperiment::run);
 
     private FleetBench() {}
 
@@ -31,7 +33,7 @@
     }
 
     /**
-     * Runs one experiment in model time.
+     * Runs one experiment, all but {@code silent} in model time.
      *
      * @param args the experiment and its options
      * @param out takes the table, after one comment line with the command
--- a/core/src/main/java/org/celerygw/core/config/Configurations.java
+++ b/core/src/main/java/org/celerygw/core/config/Configurations.java
@@ -29,6 +29,8 @@
     private static final int MAX_HISTORY = 200;
     /** A read without answer is given up after this time; a late answer is still taken. */
     private static final long ANSWER_TIMEOUT_MS = 2000;
+
+    private static final long STARTING_INTERVAL_MS = 600;
     /** So many intervals without confirmation make a daemon say that it is not confirmed. */
     private static final int STALE_INTERVALS = 3;
 
@@ -247,7 +249,9 @@
             return;
         }
         confirmDeadlineMs = nowMs + ANSWER_TIMEOUT_MS;
-        long intervalMs = inForce == null ? settings.retryMs() * 4 : settings.confirmMs(fleetSize);
+        // Only until the first answer: a fleet without any configuration must not poll the store.
+        boolean starting = confirmedAtMs == 0;
+        long intervalMs = starting ? STARTING_INTERVAL_MS : settings.confirmMs(fleetSize);
         // Spread over the interval, so that daemons that started together do not ask together.
         nextConfirmMs = nowMs + intervalMs / 2 + random.nextLong(intervalMs);
         long askedAtMs = nowMs;
--- a/core/src/test/java/org/celerygw/core/config/ConfigurationsTest.java
+++ b/core/src/test/java/org/celerygw/core/config/ConfigurationsTest.java
@@ -152,6 +152,16 @@
         assertTrue(perSecond <= 5, "reads a second: " + perSecond);
     }
 
+    @Test
+    public void aFleetWithoutAConfigurationDoesNotPollTheStore() {
+        World world = new World(8, 200);
+        world.run(60_000);
+        long before = world.table.reads;
+        world.run(200_000);
+        long perSecond = (world.table.reads - before) / 200;
+        assertTrue(perSecond <= 5, "reads a second: " + perSecond);
+    }
+
     @Test
     public void racingOperatorsFaultyStoreAndRestartsNeverLoseOrRevertAVersion() {
         qt().withFixedSeed(412)
--- a/daemon/src/test/java/org/celerygw/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/peer/PeerLinksTest.java
@@ -29,6 +29,7 @@
 import org.celerygw.core.error.RunState;
 import org.celerygw.core.id.HostId;
 import org.celerygw.core.membership.MembershipKeys;
+import org.celerygw.standin.fleet.TcpFaultProxy;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -121,7 +122,7 @@
     @Test
     public void aConnectionThatStaysSilentFromTheStartDidNotRunTheCall() {
         InetSocketAddress peer = serve((method, request, responder) -> responder.end(request));
-        FaultProxy proxy = proxy(peer);
+        TcpFaultProxy proxy = proxy(peer);
         PeerLinks client = links(KEYS);
         assertEquals(call(client, proxy.address(), "echo", "a", LONG_MS).reply(), utf8("a"));
         proxy.silence(true, true);
@@ -312,7 +313,7 @@
                 responder.end(request);
             }
         });
-        FaultProxy proxy = proxy(peer);
+        TcpFaultProxy proxy = proxy(peer);
         PeerLinks client = links(KEYS);
         Recorded lost = call(client, proxy.address(), "hang", "a", LONG_MS);
         await(asked);
@@ -342,8 +343,8 @@
         return made;
     }
 
-    private FaultProxy proxy(InetSocketAddress target) {
-        FaultProxy made = new FaultProxy(target);
+    private TcpFaultProxy proxy(InetSocketAddress target) {
+        TcpFaultProxy made = new TcpFaultProxy(target);
         open.add(made);
         return made;
     }
--- a/standin/src/main/java/org/celerygw/standin/fleet/ModelFleet.java
+++ b/standin/src/main/java/org/celerygw/standin/fleet/ModelFleet.java
@@ -178,6 +178,16 @@
         running().forEach(n -> n.membership().seed(list));
     }
 
+    /**
+     * Does something later in model time.
+     *
+     * @param delayMs after how long
+     * @param action what to do
+     */
+    public void after(long delayMs, Runnable action) {
+        at(nowMs + delayMs, action);
+    }
+
     /**
      * Runs the model.
      *
--- a/daemon/src/test/java/org/celerygw/daemon/peer/FaultProxy.java
+++ b/standin/src/main/java/org/celerygw/standin/fleet/TcpFaultProxy.java
@@ -1,4 +1,4 @@
-package org.celerygw.daemon.peer;
+package org.celerygw.standin.fleet;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -21,7 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A TCP proxy that swallows what passes on chosen connections, each way by itself, while new ones work. */
-final class FaultProxy implements AutoCloseable {
+public final class TcpFaultProxy implements AutoCloseable {
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Set<Channel> muteToServer = ConcurrentHashMap.newKeySet();
     private final Set<Channel> muteToClient = ConcurrentHashMap.newKeySet();
@@ -29,7 +29,12 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final Channel listening;
 
-    FaultProxy(InetSocketAddress target) {
+    /**
+     * Starts a proxy on loopback.
+     *
+     * @param target where connections lead
+     */
+    public TcpFaultProxy(InetSocketAddress target) {
         listening = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -47,16 +52,31 @@
                 .channel();
     }
 
-    InetSocketAddress address() {
+    /**
+     * Returns where the proxy listens.
+     *
+     * @return a loopback address
+     */
+    public InetSocketAddress address() {
         return (InetSocketAddress) listening.localAddress();
     }
 
-    int connections() {
+    /**
+     * Returns how many connections were made so far.
+     *
+     * @return the count
+     */
+    public int connections() {
         return connections.get();
     }
 
-    /** Swallows everything on the connections open now, in the chosen directions; they stay open. */
-    void silence(boolean toServer, boolean toClient) {
+    /**
+     * Swallows everything on the connections open now, which stay open.
+     *
+     * @param toServer whether what clients send is swallowed
+     * @param toClient whether what the target sends is swallowed
+     */
+    public void silence(boolean toServer, boolean toClient) {
         if (toServer) {
             muteToServer.addAll(clients);
         }
