--- a/cli/src/main/java/org/celerygw/cli/ExperimentTool.java
+++ b/cli/src/main/java/org/celerygw/cli/ExperimentTool.java
@@ -7,17 +7,17 @@
 import org.celerygw.cli.experiment.PolicyExperiment;
 import org.celerygw.core.error.ErrorCode;
 
-/** {@code celerygw experiment policy} and {@code celerygw experiment fleet}: experiments in model time. */
+/** {@code celerygw experiment NAME}: experiments in model time. */
 final class ExperimentTool {
     private static final Map<String, Tools.Body> EXPERIMENTS =
-            Map.of("policy", PolicyExperiment::run, "fleet", FleetBench::run);
+            Map.of("policy", PolicyExperiment::run, "fleet", FleetBench::run, "state", StateBenchTool::run);
 
     private ExperimentTool() {}
 
     static int run(List<String> args, PrintStream out) {
         Tools.Body experiment = args.isEmpty() ? null : EXPERIMENTS.get(args.get(0));
         if (experiment == null) {
-            out.println("usage: celerygw experiment {policy|fleet} [OPTIONS]");
+            out.println("usage: celerygw experiment {policy|fleet|state} [OPTIONS]");
             return ErrorCode.INVALID_ARGUMENT.exitCode();
         }
         return experiment.run(args.subList(1, args.size()), out);
--- a/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
+++ b/standin/src/main/java/org/celerygw/standin/world/Fuzz.java
@@ -99,8 +99,10 @@
     private void act(int action) {
         if (action < 50) {
             use(action);
-        } else if (action < 75) {
+        } else if (action < 71) {
             call(true);
+        } else if (action < 75) {
+            callAll();
         } else {
             disturb(action);
         }
@@ -124,7 +126,8 @@
 
     private void disturb(int action) {
         switch (action) {
-            case 75, 76, 77 -> crash();
+            case 75 -> crashAmidAnswers();
+            case 76, 77 -> crash();
             case 78, 79, 80, 81 -> pause();
             case 82, 83 -> drain();
             case 84, 85, 86, 87 -> start();
@@ -165,6 +168,11 @@
         anyCaller().call(repeatable);
     }
 
+    /** Lets every program call at the same instant, so that hosts race for the customer's ceiling. */
+    private void callAll() {
+        world.callers().forEach(c -> c.call(true));
+    }
+
     private WorldHost anyHost() {
         if (world.live().isEmpty()) {
             world.startHost();
@@ -180,6 +188,15 @@
         }
     }
 
+    /** Crashes a host about when back ends have answered and a slow store has not made the answers durable. */
+    private void crashAmidAnswers() {
+        long delayMs = 20 + random.nextLong(200);
+        world.store().delay(delayMs);
+        callAll();
+        world.time().run(2 * delayMs + WORK_MS + random.nextLong(delayMs));
+        crash();
+    }
+
     private void pause() {
         WorldHost host = anyHost();
         if (!host.isPaused()) {
