--- a/cli/src/main/java/org/celerygw/cli/bench/FleetBench.java
+++ b/cli/src/main/java/org/celerygw/cli/bench/FleetBench.java
@@ -43,7 +43,7 @@
         ArgumentParser parser = parser();
         try {
             Namespace parsed = parser.parseArgs(args.toArray(new String[0]));
-            out.println("# celerygw bench fleet " + String.join(" ", args));
+            out.println("# celerygw experiment fleet " + String.join(" ", args));
             EXPERIMENTS.get(parsed.getString("experiment")).run(BenchOptions.of(parsed), out);
             return 0;
         } catch (ArgumentParserException e) {
@@ -53,7 +53,7 @@
     }
 
     private static ArgumentParser parser() {
-        ArgumentParser parser = ArgumentParsers.newFor("celerygw bench fleet")
+        ArgumentParser parser = ArgumentParsers.newFor("celerygw experiment fleet")
                 .build()
                 .description("Measures membership and configuration of many daemons in model time");
         parser.addArgument("experiment").choices(EXPERIMENTS.keySet().toArray());
--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -65,7 +65,7 @@
     private static final long TICK_MS = 20;
     private static final long SWEEP_MS = 10_000;
     private static final long HOST_LIST_MS = 5_000;
-    private static final int STORE_FAILURE_STATUS_MS = 100;
+    private static final int REFUSED_RETRY_MS = 200;
 
     private final Settings settings;
     private final Clock clock = System::currentTimeMillis;
@@ -341,7 +341,8 @@
             metrics.hostsAlive(members.size());
             configurations.fleetSize(Math.max(1, members.size()));
             configurations.tick(clock.nowMs());
-            if (!stop.begun()) {
+            // Without a configuration the customers' ceilings are not known, so nothing may be owned.
+            if (!stop.begun() && configurations.inForce().isPresent()) {
                 owner.tell(new Event.HostsSeen(fleet.owners()));
                 health.holds(Health.Condition.JOINED);
             }
@@ -399,16 +400,19 @@
 
         private @Nullable Outcome refusal() {
             if (stop.refuses()) {
-                return Outcome.failed(
-                        ErrorCode.STOPPING, RunState.NOT_RUN, STORE_FAILURE_STATUS_MS, "This host is stopping.");
+                return refused(ErrorCode.STOPPING, "This host is stopping; ask another with the same key.");
             }
             if (configurations.inForce().isEmpty()) {
-                return Outcome.failed(
-                        ErrorCode.STORE_UNAVAILABLE, RunState.NOT_RUN, 500, "This host has no configuration yet.");
+                return refused(ErrorCode.STORE_UNAVAILABLE, "This host has no configuration yet.");
             }
             return null;
         }
 
+        /** An earlier request with the same key may have run through another host: only its owner could deny that. */
+        private Outcome refused(ErrorCode code, String message) {
+            return Outcome.failed(code, RunState.UNKNOWN, REFUSED_RETRY_MS, message);
+        }
+
         private Runnable serve(String method, ByteString request, Responder responder) {
             return method.equals(Peers.CALL) || method.equals(Peers.OWNER)
                     ? router.serve(method, request, responder)
--- a/daemon/src/main/java/org/celerygw/daemon/route/OwnerRouter.java
+++ b/daemon/src/main/java/org/celerygw/daemon/route/OwnerRouter.java
@@ -181,7 +181,6 @@
         private final Responder responder;
         private Runnable cancel = () -> {};
         private boolean cancelled;
-        private boolean mayHaveRun;
 
         Attempts(Slot slot, long deadlineMs, Responder responder) {
             this.slot = slot;
@@ -216,12 +215,13 @@
             cancel.run();
         }
 
+        /** Only the owner knows whether an earlier request with the same key ran, so this one can't be told. */
         private void expire() {
             responder.end(Outcome.failed(
                     ErrorCode.DEADLINE_EXCEEDED,
-                    mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN,
+                    RunState.UNKNOWN,
                     0,
-                    "The deadline passed before the program's owner answered."));
+                    "The deadline passed before the program's owner answered; ask again with the same key."));
         }
 
         /** Passes on one attempt's answer; answers of an attempt that is over are dropped. */
@@ -245,7 +245,6 @@
                     responder.end(outcome);
                     return;
                 }
-                mayHaveRun |= outcome.runState() != RunState.NOT_RUN;
                 later.run(RETRY_MS, Attempts.this::next);
             }
         }
