Serve the users' platform through an adapter: programs on rows, no owner

The whole path, thin: a gateway module (connections, one request's way, feeds of configuration and backend servers) over new core packages (routes, servers, events, turns), and platform/, which only translates. State lies in the store's rows; any host serves any turn.

--- a/core/src/main/java/org/celerygw/core/store/TxnResult.java
+++ b/core/src/main/java/org/celerygw/core/store/TxnResult.java
@@ -7,8 +7,9 @@
  *
  * @param status what is known of its effect
  * @param found when a condition failed, the rows named in the conditions as they are now
+ * @param version the version that the written rows have; 0 when the store does not say
  */
-public record TxnResult(Status status, List<Row> found) {
+public record TxnResult(Status status, List<Row> found, long version) {
     /** What is known of a write. */
     public enum Status {
         /** All changes took effect. */
@@ -20,10 +21,20 @@
     }
 
     /** The result of a write that took effect. */
-    public static final TxnResult COMMITTED = new TxnResult(Status.COMMITTED, List.of());
+    public static final TxnResult COMMITTED = new TxnResult(Status.COMMITTED, List.of(), 0);
 
     /** The result of a write of which nothing is known. */
-    public static final TxnResult UNKNOWN = new TxnResult(Status.UNKNOWN, List.of());
+    public static final TxnResult UNKNOWN = new TxnResult(Status.UNKNOWN, List.of(), 0);
+
+    /**
+     * Returns the result of a write that took effect, from a store that tells versions.
+     *
+     * @param version the version that the written rows have
+     * @return the result
+     */
+    public static TxnResult committed(long version) {
+        return new TxnResult(Status.COMMITTED, List.of(), version);
+    }
 
     /**
      * Returns the result of a write whose condition failed.
@@ -32,6 +43,6 @@
      * @return the result
      */
     public static TxnResult conflict(List<Row> found) {
-        return new TxnResult(Status.CONFLICT, List.copyOf(found));
+        return new TxnResult(Status.CONFLICT, List.copyOf(found), 0);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/celerygw/core/turns/Wish.java
@@ -0,0 +1,56 @@
+package org.celerygw.core.turns;
+
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** A change to one program's rows that waits to be written. */
+final class Wish {
+    final boolean reserves;
+    final String turn;
+    final long tokens;
+    final long budgetTokens;
+    final @Nullable KeptTurn kept;
+    final long untilMs;
+    private @Nullable Consumer<Grant> done;
+    boolean written;
+    boolean abandoned;
+
+    private Wish(
+            boolean reserves,
+            String turn,
+            long tokens,
+            long budgetTokens,
+            @Nullable KeptTurn kept,
+            long untilMs,
+            Consumer<Grant> done) {
+        this.reserves = reserves;
+        this.turn = turn;
+        this.tokens = tokens;
+        this.budgetTokens = budgetTokens;
+        this.kept = kept;
+        this.untilMs = untilMs;
+        this.done = done;
+    }
+
+    static Wish reserve(String turn, long maxTokens, long budgetTokens, long untilMs, Consumer<Grant> done) {
+        return new Wish(true, turn, maxTokens, budgetTokens, null, untilMs, done);
+    }
+
+    static Wish settle(String turn, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
+        return new Wish(false, turn, tokens, 0, kept, untilMs, done);
+    }
+
+    /** Tells the asker, once. */
+    void end(Grant grant) {
+        Consumer<Grant> asker = done;
+        done = null;
+        if (asker != null) {
+            abandoned = reserves && grant == Grant.UNAVAILABLE;
+            asker.accept(grant);
+        }
+    }
+
+    int bytes() {
+        return kept == null ? 0 : kept.input().length + kept.output().length;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -0,0 +1,315 @@
+package org.celerygw.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.celerygw.core.routes.RouteTable;
+import org.celerygw.core.servers.Chooser;
+import org.celerygw.core.servers.ServerList;
+import org.celerygw.core.time.Clock;
+import org.celerygw.core.turns.Ledger;
+import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.forward.Forwarder;
+import org.celerygw.gateway.forward.Pools;
+import org.celerygw.gateway.forward.RequestLog;
+import org.celerygw.gateway.net.Incoming;
+import org.celerygw.gateway.net.Listener;
+import org.celerygw.gateway.net.Reply;
+import org.celerygw.gateway.watch.Watch;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One host of the gateway. It holds nothing that another host could not read in the store.
+ *
+ * <pre>{@code
+ * Gateway.start(vertx, loop, settings, loop -> adapter).onSuccess(gateway -> ...);
+ * }</pre>
+ */
+public final class Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger("host");
+    private static final long CONFIG_GAP_MS = 100;
+    private static final long SERVERS_GAP_MS = 200;
+    private static final long SWEEP_MS = 500;
+    private static final long MOST_READ_MS = 5_000;
+    private static final long STOP_ACCEPT_MS = 3_200;
+    private static final long STOP_MARGIN_MS = 700;
+    private static final long STOP_STEP_MS = 50;
+    private static final long CACHE_BYTES = 24L << 20;
+
+    private final EventLoop loop;
+    private final GatewaySettings settings;
+    private final Clock clock = new SteadyClock();
+    private final Scheduler scheduler;
+    private final ServerList servers;
+    private final Pools pools;
+    private final Forwarder forwarder;
+    private final Metrics metrics;
+    private final long startedAtMs = clock.nowMs();
+    private @Nullable RouteTable table;
+    private boolean serversKnown;
+    private boolean storeAway;
+    private boolean stopping;
+    private boolean wasReady;
+    private @Nullable Listener clients;
+    private @Nullable Listener probes;
+
+    /** Makes the adapter once the event loop and the clock are there. */
+    @FunctionalInterface
+    public interface AdapterFactory {
+        /**
+         * Makes the adapter.
+         *
+         * @param loop runs its connections
+         * @param clock tells the time
+         * @return the adapter
+         */
+        Adapter make(EventLoop loop, Clock clock);
+    }
+
+    private Gateway(EventLoop loop, GatewaySettings settings, AdapterFactory factory) {
+        this.loop = loop;
+        this.settings = settings;
+        this.scheduler = (delayMs, task) -> {
+            var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        };
+        Adapter adapter = factory.make(loop, clock);
+        this.pools = new Pools(loop, clock);
+        this.servers = new ServerList(pools::left);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        this.metrics = new Metrics(registry, this);
+        Ledger ledger = new Ledger(
+                adapter.partitions(settings.partitions()), clock, scheduler, settings.rowBytes(), CACHE_BYTES);
+        this.forwarder = new Forwarder(
+                clock,
+                scheduler,
+                adapter.dialect(),
+                () -> table,
+                servers,
+                new Chooser(settings.zone()),
+                pools,
+                ledger,
+                new RequestLog(registry));
+        new Watch<>(adapter.configurations(), clock, scheduler, CONFIG_GAP_MS, new ConfigListener()).start();
+        new Watch<>(adapter.servers(), clock, scheduler, SERVERS_GAP_MS, new ServerListener()).start();
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param vertx owns the event loop
+     * @param loop the event loop that everything runs on
+     * @param settings the host's settings
+     * @param factory makes the adapter
+     * @return the host, once it listens
+     */
+    public static Future<Gateway> start(Vertx vertx, EventLoop loop, GatewaySettings settings, AdapterFactory factory) {
+        Promise<Gateway> promise = Promise.promise();
+        loop.execute(() -> {
+            Gateway gateway = new Gateway(loop, settings, factory);
+            gateway.listen().onComplete(r -> {
+                if (r.succeeded()) {
+                    gateway.sweep();
+                    LOG.atInfo()
+                            .addKeyValue("host", settings.host())
+                            .addKeyValue("zone", settings.zone())
+                            .log("host: listening");
+                    promise.complete(gateway);
+                } else {
+                    promise.fail(r.cause());
+                }
+            });
+        });
+        return promise.future();
+    }
+
+    /**
+     * Stops gracefully: takes no new connections once the balancer has noticed, and ends what was read.
+     *
+     * @return told when nothing is under way any more, or the grace is nearly over
+     */
+    public Future<Void> stop() {
+        Promise<Void> promise = Promise.promise();
+        loop.execute(() -> {
+            if (!stopping) {
+                stopping = true;
+                LOG.atInfo().addKeyValue("underWay", forwarder.underWay()).log("host: stopping");
+                listeners().forEach(l -> l.stopping(true));
+                stopStep(clock.nowMs(), promise);
+            }
+        });
+        return promise.future();
+    }
+
+    /**
+     * Returns the port for clients.
+     *
+     * @return the port
+     */
+    public int clientPort() {
+        return clients == null ? 0 : clients.port();
+    }
+
+    /**
+     * Returns whether this host should get clients.
+     *
+     * @return true when routes and backend servers are known and it does not stop
+     */
+    public boolean ready() {
+        return !stopping && table != null && serversKnown;
+    }
+
+    long configVersion() {
+        return table == null ? 0 : table.version();
+    }
+
+    int underWay() {
+        return forwarder.underWay();
+    }
+
+    int knownServers() {
+        return servers.all().size();
+    }
+
+    private Future<Void> listen() {
+        GatewaySettings.Address c = settings.clients();
+        GatewaySettings.Address r = settings.ready();
+        Future<Listener> first = Listener.start(loop, clock, c.ip(), c.port(), forwarder);
+        Future<Listener> second = Listener.start(loop, clock, r.ip(), r.port(), this::probe);
+        Future<?> third = settings.metricsPort() == 0
+                ? Future.succeededFuture()
+                : Listener.start(loop, clock, c.ip(), settings.metricsPort(), metrics::serve);
+        return Future.all(List.of(first, second, third)).map(all -> {
+            clients = first.result();
+            probes = second.result();
+            return null;
+        });
+    }
+
+    private List<Listener> listeners() {
+        return Optional.ofNullable(clients).stream().toList();
+    }
+
+    private void probe(Incoming request, Reply reply) {
+        boolean now = ready();
+        if (now != wasReady) {
+            wasReady = now;
+            LOG.atInfo()
+                    .addKeyValue("ready", now)
+                    .addKeyValue("configVersion", configVersion())
+                    .addKeyValue("servers", knownServers())
+                    .addKeyValue("sinceStartMs", clock.nowMs() - startedAtMs)
+                    .log("host: readiness changed");
+        }
+        reply.whole(now ? 200 : 503, new DefaultHttpHeaders(), new byte[0]);
+    }
+
+    private void sweep() {
+        RouteTable known = table;
+        long idleMs = known == null ? 60_000 : known.limits().idleTimeoutMs();
+        listeners().forEach(l -> l.sweep(idleMs, MOST_READ_MS));
+        pools.sweep();
+        servers.expire(clock.nowMs());
+        scheduler.after(SWEEP_MS, this::sweep);
+    }
+
+    private void stopStep(long sinceMs, Promise<Void> done) {
+        long spentMs = clock.nowMs() - sinceMs;
+        boolean accepting = spentMs < Math.min(STOP_ACCEPT_MS, settings.graceMs() / 2);
+        if (!accepting) {
+            listeners().forEach(Listener::closeIdle);
+        }
+        boolean quiet =
+                !accepting && forwarder.underWay() == 0 && listeners().stream().allMatch(l -> l.busy() == 0);
+        if (quiet || spentMs > settings.graceMs() - STOP_MARGIN_MS) {
+            LOG.atInfo().addKeyValue("underWay", forwarder.underWay()).log("host: stopped");
+            done.complete();
+        } else {
+            scheduler.after(STOP_STEP_MS, () -> stopStep(sinceMs, done));
+        }
+    }
+
+    private void storeAway(String what) {
+        servers.storeAway();
+        if (!storeAway) {
+            storeAway = true;
+            LOG.atWarn().addKeyValue("feed", what).log("store: does not answer");
+        }
+    }
+
+    private void storeBack(String what) {
+        servers.storeBack(clock.nowMs());
+        if (storeAway) {
+            storeAway = false;
+            LOG.atInfo().addKeyValue("feed", what).log("store: answers again");
+        }
+    }
+
+    /** Takes configurations whose version is newer. */
+    private final class ConfigListener implements Watch.Listener<RouteTable> {
+        @Override
+        public void all(List<RouteTable> rows) {
+            changed(rows);
+        }
+
+        @Override
+        public void changed(List<RouteTable> rows) {
+            rows.stream().filter(t -> t.version() > configVersion()).forEach(t -> {
+                LOG.atInfo()
+                        .addKeyValue("configVersion", t.version())
+                        .addKeyValue("before", configVersion())
+                        .addKeyValue("routes", t.size())
+                        .log("config: in force");
+                table = t;
+                listeners().forEach(l -> l.maxBodyBytes(t.limits().maxBodyBytes()));
+            });
+        }
+
+        @Override
+        public void away() {
+            storeAway("configurations");
+        }
+
+        @Override
+        public void back() {
+            storeBack("configurations");
+        }
+    }
+
+    /** Takes entries of backend servers. */
+    private final class ServerListener implements Watch.Listener<ServerNews> {
+        @Override
+        public void all(List<ServerNews> rows) {
+            serversKnown = true;
+            servers.replace(rows.stream().flatMap(n -> n.server().stream()).toList(), clock.nowMs());
+        }
+
+        @Override
+        public void changed(List<ServerNews> rows) {
+            rows.forEach(n -> {
+                LOG.atInfo()
+                        .addKeyValue("server", n.id())
+                        .addKeyValue("entry", n.server().map(Object::toString).orElse("gone"))
+                        .log("servers: entry changed");
+                n.server().ifPresentOrElse(servers::put, () -> servers.remove(n.id(), clock.nowMs()));
+            });
+        }
+
+        @Override
+        public void away() {
+            storeAway("servers");
+        }
+
+        @Override
+        public void back() {
+            storeBack("servers");
+        }
+    }
+}
