Let hosts help each other: digests, and store calls by a peer

Cause: the store may turn some hosts away while it serves others, and rules hold for those hosts too. Change: rows that each host writes at its start, digests as datagrams four times a second, a relay of typed store calls over connections between hosts, and a second try by a peer for calls that have no answer for 200 ms.

--- a/core/src/main/java/org/celerygw/core/gen/store/Store.java
+++ b/core/src/main/java/org/celerygw/core/gen/store/Store.java
@@ -92,20 +92,21 @@
       "(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006delete\030\003 \001(\010\"p\n\014Wri" +
       "teRequest\0222\n\nconditions\030\001 \003(\0132\036.celerygw" +
       ".store.WriteCondition\022,\n\007changes\030\002 \003(\0132\033" +
-      ".celerygw.store.WriteChange\"\240\001\n\nWriteRep" +
+      ".celerygw.store.WriteChange\"\261\001\n\nWriteRep" +
       "ly\0221\n\006status\030\001 \001(\0162!.celerygw.store.Writ" +
       "eReply.Status\022\'\n\005found\030\002 \003(\0132\030.celerygw." +
-      "store.TableRow\"6\n\006Status\022\017\n\013UNSPECIFIED\020" +
-      "\000\022\r\n\tCOMMITTED\020\001\022\014\n\010CONFLICT\020\002\"\033\n\013ReadRe" +
-      "quest\022\014\n\004keys\030\001 \003(\t\"?\n\013ScanRequest\022\016\n\006pr" +
-      "efix\030\001 \001(\t\022\021\n\tafter_key\030\002 \001(\t\022\r\n\005limit\030\003" +
-      " \001(\005\"E\n\tRowsReply\022&\n\004rows\030\001 \003(\0132\030.celery" +
-      "gw.store.TableRow\022\020\n\010complete\030\002 \001(\010\"U\n\tH" +
-      "ostEntry\022\n\n\002id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\014\n" +
-      "\004port\030\003 \001(\005\022\014\n\004zone\030\004 \001(\t\022\017\n\007leaving\030\005 \001" +
-      "(\010\"K\n\rHostListReply\022(\n\005hosts\030\001 \003(\0132\031.cel" +
-      "erygw.store.HostEntry\022\020\n\010complete\030\002 \001(\010B" +
-      "\037\n\033org.celerygw.core.gen.storeP\001b\006proto3"
+      "store.TableRow\022\017\n\007version\030\003 \001(\003\"6\n\006Statu" +
+      "s\022\017\n\013UNSPECIFIED\020\000\022\r\n\tCOMMITTED\020\001\022\014\n\010CON" +
+      "FLICT\020\002\"\033\n\013ReadRequest\022\014\n\004keys\030\001 \003(\t\"?\n\013" +
+      "ScanRequest\022\016\n\006prefix\030\001 \001(\t\022\021\n\tafter_key" +
+      "\030\002 \001(\t\022\r\n\005limit\030\003 \001(\005\"E\n\tRowsReply\022&\n\004ro" +
+      "ws\030\001 \003(\0132\030.celerygw.store.TableRow\022\020\n\010co" +
+      "mplete\030\002 \001(\010\"U\n\tHostEntry\022\n\n\002id\030\001 \001(\t\022\017\n" +
+      "\007address\030\002 \001(\t\022\014\n\004port\030\003 \001(\005\022\014\n\004zone\030\004 \001" +
+      "(\t\022\017\n\007leaving\030\005 \001(\010\"K\n\rHostListReply\022(\n\005" +
+      "hosts\030\001 \003(\0132\031.celerygw.store.HostEntry\022\020" +
+      "\n\010complete\030\002 \001(\010B\037\n\033org.celerygw.core.ge" +
+      "n.storeP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -140,7 +141,7 @@
     internal_static_celerygw_store_WriteReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_store_WriteReply_descriptor,
-        new java.lang.String[] { "Status", "Found", });
+        new java.lang.String[] { "Status", "Found", "Version", });
     internal_static_celerygw_store_ReadRequest_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_celerygw_store_ReadRequest_fieldAccessorTable = new
--- a/core/src/main/java/org/celerygw/core/gen/store/WriteReply.java
+++ b/core/src/main/java/org/celerygw/core/gen/store/WriteReply.java
@@ -263,6 +263,21 @@
     return found_.get(index);
   }
 
+  public static final int VERSION_FIELD_NUMBER = 3;
+  private long version_ = 0L;
+  /**
+   * <pre>
+   * when committed, the version of the written rows; 0 when not known
+   * </pre>
+   *
+   * <code>int64 version = 3;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public long getVersion() {
+    return version_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +298,9 @@
     for (int i = 0; i < found_.size(); i++) {
       output.writeMessage(2, found_.get(i));
     }
+    if (version_ != 0L) {
+      output.writeInt64(3, version_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -305,6 +323,10 @@
           }
           size += 1 * count;
         }
+    if (version_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, version_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -323,6 +345,8 @@
     if (status_ != other.status_) return false;
     if (!getFoundList()
         .equals(other.getFoundList())) return false;
+    if (getVersion()
+        != other.getVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -340,6 +364,9 @@
       hash = (37 * hash) + FOUND_FIELD_NUMBER;
       hash = (53 * hash) + getFoundList().hashCode();
     }
+    hash = (37 * hash) + VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -479,6 +506,7 @@
         foundBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      version_ = 0L;
       return this;
     }
 
@@ -528,6 +556,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.status_ = status_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.version_ = version_;
+      }
     }
 
     @java.lang.Override
@@ -571,6 +602,9 @@
           }
         }
       }
+      if (other.getVersion() != 0L) {
+        setVersion(other.getVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -615,6 +649,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              version_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -996,6 +1035,50 @@
       return foundBuilder_;
     }
 
+    private long version_ ;
+    /**
+     * <pre>
+     * when committed, the version of the written rows; 0 when not known
+     * </pre>
+     *
+     * <code>int64 version = 3;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+    /**
+     * <pre>
+     * when committed, the version of the written rows; 0 when not known
+     * </pre>
+     *
+     * <code>int64 version = 3;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(long value) {
+
+      version_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * when committed, the version of the written rows; 0 when not known
+     * </pre>
+     *
+     * <code>int64 version = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      version_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.store.WriteReply)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/store/WriteReplyOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/store/WriteReplyOrBuilder.java
@@ -64,4 +64,14 @@
    */
   org.celerygw.core.gen.store.TableRowOrBuilder getFoundOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * when committed, the version of the written rows; 0 when not known
+   * </pre>
+   *
+   * <code>int64 version = 3;</code>
+   * @return The version.
+   */
+  long getVersion();
 }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -6,12 +6,16 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.celerygw.core.routes.RouteTable;
+import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.Chooser;
 import org.celerygw.core.servers.ServerList;
+import org.celerygw.core.store.Row;
+import org.celerygw.core.store.Table;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Ledger;
 import org.celerygw.core.turns.Scheduler;
@@ -21,6 +25,8 @@
 import org.celerygw.gateway.net.Incoming;
 import org.celerygw.gateway.net.Listener;
 import org.celerygw.gateway.net.Reply;
+import org.celerygw.gateway.peers.Peers;
+import org.celerygw.gateway.peers.StoreHealth;
 import org.celerygw.gateway.watch.Watch;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -35,6 +41,8 @@
  */
 public final class Gateway {
     private static final Logger LOG = LoggerFactory.getLogger("host");
+    private static final String CONFIGURATIONS = "configurations";
+    private static final String ENTRIES = "servers";
     private static final long CONFIG_GAP_MS = 100;
     private static final long SERVERS_GAP_MS = 200;
     private static final long SWEEP_MS = 500;
@@ -52,6 +60,10 @@
     private final Pools pools;
     private final Forwarder forwarder;
     private final Metrics metrics;
+    private final Adapter adapter;
+    private final Watch configurations;
+    private final Watch entries;
+    private final Peers peers;
     private final long startedAtMs = clock.nowMs();
     private @Nullable RouteTable table;
     private boolean serversKnown;
@@ -80,13 +92,33 @@
         this.scheduler = (delayMs, task) -> {
             var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
-        Adapter adapter = factory.make(loop, clock);
+        this.adapter = factory.make(loop, clock);
         this.pools = new Pools(loop, clock);
         this.servers = new ServerList(pools::left);
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
-        Ledger ledger = new Ledger(
-                adapter.partitions(settings.partitions()), clock, scheduler, settings.rowBytes(), CACHE_BYTES);
+        StoreHealth health = new StoreHealth(clock);
+        this.configurations = new Watch(
+                new NotedFeed(adapter.configurations(), health), clock, scheduler, CONFIG_GAP_MS, new ConfigListener());
+        this.entries = new Watch(
+                new NotedFeed(adapter.servers(), health), clock, scheduler, SERVERS_GAP_MS, new ServerListener());
+        List<Table> partitions = adapter.partitions(settings.partitions());
+        this.peers = new Peers(
+                loop,
+                clock,
+                scheduler,
+                settings.host(),
+                address(settings.clients().ip(), settings.peersPort()),
+                settings.seeds().stream().map(a -> address(a.ip(), a.port())).toList(),
+                partitions,
+                adapter.members(),
+                name -> CONFIGURATIONS.equals(name) ? configurations.known() : entries.known(),
+                servers,
+                health,
+                new PeersView());
+        configurations.peers(done -> peers.feed(CONFIGURATIONS, done));
+        entries.peers(done -> peers.feed(ENTRIES, done));
+        Ledger ledger = new Ledger(peers.throughPeers(partitions), clock, scheduler, settings.rowBytes(), CACHE_BYTES);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
@@ -97,8 +129,8 @@
                 pools,
                 ledger,
                 new RequestLog(registry));
-        new Watch<>(adapter.configurations(), clock, scheduler, CONFIG_GAP_MS, new ConfigListener()).start();
-        new Watch<>(adapter.servers(), clock, scheduler, SERVERS_GAP_MS, new ServerListener()).start();
+        configurations.start();
+        entries.start();
     }
 
     /**
@@ -186,7 +218,7 @@
         Future<?> third = settings.metricsPort() == 0
                 ? Future.succeededFuture()
                 : Listener.start(loop, clock, c.ip(), settings.metricsPort(), metrics::serve);
-        return Future.all(List.of(first, second, third)).map(all -> {
+        return Future.all(List.of(first, second, third, peers.start())).map(all -> {
             clients = first.result();
             probes = second.result();
             return null;
@@ -252,64 +284,94 @@
         }
     }
 
+    private static InetSocketAddress address(String ip, int port) {
+        return new InetSocketAddress(ip, port);
+    }
+
+    /** What the peers are told of this host. */
+    private final class PeersView implements Peers.View {
+        @Override
+        public long configVersion() {
+            return Gateway.this.configVersion();
+        }
+
+        @Override
+        public boolean leaving() {
+            return stopping;
+        }
+
+        @Override
+        public void behind() {
+            configurations.askPeer();
+        }
+    }
+
     /** Takes configurations whose version is newer. */
-    private final class ConfigListener implements Watch.Listener<RouteTable> {
+    private final class ConfigListener implements Watch.Listener {
         @Override
-        public void all(List<RouteTable> rows) {
+        public void all(List<Row> rows) {
             changed(rows);
         }
 
         @Override
-        public void changed(List<RouteTable> rows) {
-            rows.stream().filter(t -> t.version() > configVersion()).forEach(t -> {
-                LOG.atInfo()
-                        .addKeyValue("configVersion", t.version())
-                        .addKeyValue("before", configVersion())
-                        .addKeyValue("routes", t.size())
-                        .log("config: in force");
-                table = t;
-                listeners().forEach(l -> l.maxBodyBytes(t.limits().maxBodyBytes()));
-            });
+        public void changed(List<Row> rows) {
+            rows.stream()
+                    .filter(Row::exists)
+                    .flatMap(r -> adapter.configuration(r).stream())
+                    .filter(t -> t.version() > configVersion())
+                    .forEach(this::take);
         }
 
         @Override
         public void away() {
-            storeAway("configurations");
+            storeAway(CONFIGURATIONS);
         }
 
         @Override
         public void back() {
-            storeBack("configurations");
+            storeBack(CONFIGURATIONS);
+        }
+
+        private void take(RouteTable fresh) {
+            LOG.atInfo()
+                    .addKeyValue("configVersion", fresh.version())
+                    .addKeyValue("before", configVersion())
+                    .addKeyValue("routes", fresh.size())
+                    .log("config: in force");
+            table = fresh;
+            listeners().forEach(l -> l.maxBodyBytes(fresh.limits().maxBodyBytes()));
         }
     }
 
     /** Takes entries of backend servers. */
-    private final class ServerListener implements Watch.Listener<ServerNews> {
+    private final class ServerListener implements Watch.Listener {
         @Override
-        public void all(List<ServerNews> rows) {
+        public void all(List<Row> rows) {
             serversKnown = true;
-            servers.replace(rows.stream().flatMap(n -> n.server().stream()).toList(), clock.nowMs());
+            servers.replace(
+                    rows.stream().flatMap(r -> adapter.server(r).stream()).toList(), clock.nowMs());
         }
 
         @Override
-        public void changed(List<ServerNews> rows) {
-            rows.forEach(n -> {
+        public void changed(List<Row> rows) {
+            rows.forEach(r -> {
+                Optional<BackendServer> entry = r.exists() ? adapter.server(r) : Optional.empty();
                 LOG.atInfo()
-                        .addKeyValue("server", n.id())
-                        .addKeyValue("entry", n.server().map(Object::toString).orElse("gone"))
+                        .addKeyValue("server", r.key())
+                        .addKeyValue("entry", entry.map(Object::toString).orElse("names no server"))
                         .log("servers: entry changed");
-                n.server().ifPresentOrElse(servers::put, () -> servers.remove(n.id(), clock.nowMs()));
+                entry.ifPresentOrElse(servers::put, () -> servers.remove(r.key(), clock.nowMs()));
             });
         }
 
         @Override
         public void away() {
-            storeAway("servers");
+            storeAway(ENTRIES);
         }
 
         @Override
         public void back() {
-            storeBack("servers");
+            storeBack(ENTRIES);
         }
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
@@ -1,5 +1,7 @@
 package org.celerygw.gateway;
 
+import java.util.List;
+
 /**
  * What a host of the gateway has to know of itself.
  *
@@ -8,6 +10,8 @@
  * @param clients where clients connect
  * @param ready where the balancer asks whether the host is ready
  * @param metricsPort where metrics are served, on the clients' ip; 0 for nowhere
+ * @param peersPort where other hosts connect and send datagrams, on the clients' ip
+ * @param seeds hosts to tell of this one at the start; may be stale
  * @param graceMs how long a stop may take
  * @param partitions into how many partitions of the store the programs are spread; never changes
  * @param rowBytes the most bytes of a row's value
@@ -18,9 +22,16 @@
         Address clients,
         Address ready,
         int metricsPort,
+        int peersPort,
+        List<Address> seeds,
         long graceMs,
         int partitions,
         int rowBytes) {
+    /** Copies the list. */
+    public GatewaySettings {
+        seeds = List.copyOf(seeds);
+    }
+
     /**
      * Where to listen or connect.
      *
--- a/gateway/src/main/java/org/celerygw/gateway/watch/Feed.java
+++ b/gateway/src/main/java/org/celerygw/gateway/watch/RowFeed.java
@@ -2,19 +2,16 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.celerygw.core.store.Row;
 
-/**
- * A table that can be read whole and followed.
- *
- * @param <T> what a row says
- */
-public interface Feed<T> {
+/** A table of the store that can be read whole and followed. */
+public interface RowFeed {
     /**
      * Reads everything at one instant.
      *
      * @param done given the rows, or told that there is no answer
      */
-    void all(Consumer<News<T>> done);
+    void all(Consumer<News> done);
 
     /**
      * Waits for rows that changed after a version.
@@ -23,7 +20,7 @@
      * @param waitMs how long the store may wait
      * @param done given the changed rows, perhaps none, or told that there is no answer or no such history
      */
-    void after(long version, long waitMs, Consumer<News<T>> done);
+    void after(long version, long waitMs, Consumer<News> done);
 
     /** What became of a question. */
     enum Status {
@@ -40,19 +37,17 @@
      *
      * @param status what became of the question
      * @param version up to where the answer reaches
-     * @param rows what the rows say
-     * @param <T> what a row says
+     * @param rows the rows; one that is gone is absent
      */
-    record News<T>(Status status, long version, List<T> rows) {
+    record News(Status status, long version, List<Row> rows) {
         /**
          * Returns an answer without rows.
          *
          * @param status why
          * @return the answer
-         * @param <T> what a row would say
          */
-        public static <T> News<T> none(Status status) {
-            return new News<>(status, 0, List.of());
+        public static News none(Status status) {
+            return new News(status, 0, List.of());
         }
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
+++ b/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
@@ -1,53 +1,56 @@
 package org.celerygw.gateway.watch;
 
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.celerygw.core.store.Row;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
 
 /**
  * Follows one feed for as long as the process lives. After a failure everything is read anew, since nobody knows what
- * was missed.
- *
- * @param <T> what a row says
+ * was missed; while the store does not answer this host, a peer's rows stand in. What is told never goes back to an
+ * older version.
  */
-public final class Watch<T> {
+public final class Watch {
     private static final long WAIT_MS = 1_000;
     private static final long SHORTEST_PAUSE_MS = 100;
     private static final long LONGEST_PAUSE_MS = 500;
 
-    private final Feed<T> feed;
+    private final RowFeed feed;
     private final Clock clock;
     private final Scheduler scheduler;
     private final long gapMs;
-    private final Listener<T> listener;
+    private final Listener listener;
+    private final SortedMap<String, Row> rows = new TreeMap<>();
+    private Consumer<Consumer<RowFeed.News>> peers = done -> done.accept(RowFeed.News.none(RowFeed.Status.FAILED));
     private long version = -1;
+    private boolean followed;
+    private boolean askingPeer;
     private long askedAtMs;
     private int failures;
 
-    /**
-     * Hears what a feed tells.
-     *
-     * @param <T> what a row says
-     */
-    public interface Listener<T> {
+    /** Hears what a feed tells. */
+    public interface Listener {
         /**
          * Everything there is.
          *
          * @param rows all rows at one instant
          */
-        void all(List<T> rows);
+        void all(List<Row> rows);
 
         /**
          * Rows that changed.
          *
-         * @param rows the rows
+         * @param rows the rows; one that is gone is absent
          */
-        void changed(List<T> rows);
+        void changed(List<Row> rows);
 
-        /** The store does not answer. */
+        /** Neither the store nor a peer answers. */
         void away();
 
-        /** The store answered. */
+        /** The store, or a peer, answered. */
         void back();
     }
 
@@ -60,7 +63,7 @@
      * @param gapMs the shortest time between two questions
      * @param listener hears the news
      */
-    public Watch(Feed<T> feed, Clock clock, Scheduler scheduler, long gapMs, Listener<T> listener) {
+    public Watch(RowFeed feed, Clock clock, Scheduler scheduler, long gapMs, Listener listener) {
         this.feed = feed;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -68,59 +71,113 @@
         this.listener = listener;
     }
 
+    /**
+     * Sets whom to ask while the store does not answer.
+     *
+     * @param ask asks a peer for all rows of this feed
+     */
+    public void peers(Consumer<Consumer<RowFeed.News>> ask) {
+        peers = ask;
+    }
+
     /** Starts to follow. */
     public void start() {
         ask();
     }
 
+    /**
+     * Returns all rows as they are known now.
+     *
+     * @return an answer; FAILED while nothing is known
+     */
+    public RowFeed.News known() {
+        return version < 0
+                ? RowFeed.News.none(RowFeed.Status.FAILED)
+                : new RowFeed.News(RowFeed.Status.OK, version, List.copyOf(rows.values()));
+    }
+
+    /** Asks a peer for what this host may have missed. */
+    public void askPeer() {
+        if (askingPeer) {
+            return;
+        }
+        askingPeer = true;
+        peers.accept(news -> {
+            askingPeer = false;
+            if (news.status() == RowFeed.Status.OK) {
+                whole(news);
+            } else if (failures > 1) {
+                listener.away();
+            }
+        });
+    }
+
     private void ask() {
         askedAtMs = clock.nowMs();
-        if (version < 0) {
-            feed.all(this::whole);
+        if (followed) {
+            feed.after(version, WAIT_MS, this::followed);
         } else {
-            feed.after(version, WAIT_MS, this::changed);
+            feed.all(news -> {
+                if (news.status() == RowFeed.Status.OK) {
+                    failures = 0;
+                    followed = true;
+                    whole(news);
+                    next();
+                } else {
+                    failed();
+                }
+            });
         }
     }
 
-    private void whole(Feed.News<T> news) {
-        if (news.status() != Feed.Status.OK) {
-            failed();
+    private void whole(RowFeed.News news) {
+        if (news.version() < version) {
             return;
         }
-        succeeded(news);
-        listener.all(news.rows());
-        next();
+        version = news.version();
+        rows.clear();
+        news.rows().stream().filter(Row::exists).forEach(r -> rows.put(r.key(), r));
+        listener.back();
+        listener.all(List.copyOf(rows.values()));
     }
 
-    private void changed(Feed.News<T> news) {
+    private void followed(RowFeed.News news) {
         switch (news.status()) {
             case OK -> {
-                succeeded(news);
-                if (!news.rows().isEmpty()) {
-                    listener.changed(news.rows());
-                }
+                failures = 0;
+                changed(news);
                 next();
             }
             case FORGOTTEN -> {
-                version = -1;
+                followed = false;
                 ask();
             }
             case FAILED -> failed();
         }
     }
 
-    private void succeeded(Feed.News<T> news) {
-        failures = 0;
-        version = news.version();
+    private void changed(RowFeed.News news) {
         listener.back();
+        if (news.version() < version) {
+            return;
+        }
+        version = news.version();
+        news.rows().forEach(r -> {
+            if (r.exists()) {
+                rows.put(r.key(), r);
+            } else {
+                rows.remove(r.key());
+            }
+        });
+        if (!news.rows().isEmpty()) {
+            listener.changed(news.rows());
+        }
     }
 
     private void failed() {
-        version = -1;
+        followed = false;
         failures++;
-        if (failures > 1) {
-            listener.away();
-        }
+        askPeer();
         long pauseMs = Math.min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS << Math.min(failures - 1, 3));
         scheduler.after(pauseMs, this::ask);
     }
