--- a/core/src/main/java/org/celerygw/core/gen/turns/ProgramRow.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/ProgramRow.java
@@ -129,6 +129,21 @@
     return open_.get(index);
   }
 
+  public static final int KEEP_UNTIL_MS_FIELD_NUMBER = 3;
+  private long keepUntilMs_ = 0L;
+  /**
+   * <pre>
+   * the program's rows may be removed after this
+   * </pre>
+   *
+   * <code>int64 keep_until_ms = 3;</code>
+   * @return The keepUntilMs.
+   */
+  @java.lang.Override
+  public long getKeepUntilMs() {
+    return keepUntilMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -149,6 +164,9 @@
     for (int i = 0; i < open_.size(); i++) {
       output.writeMessage(2, open_.get(i));
     }
+    if (keepUntilMs_ != 0L) {
+      output.writeInt64(3, keepUntilMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -171,6 +189,10 @@
           }
           size += 1 * count;
         }
+    if (keepUntilMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, keepUntilMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -190,6 +212,8 @@
         != other.getSpentTokens()) return false;
     if (!getOpenList()
         .equals(other.getOpenList())) return false;
+    if (getKeepUntilMs()
+        != other.getKeepUntilMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -208,6 +232,9 @@
       hash = (37 * hash) + OPEN_FIELD_NUMBER;
       hash = (53 * hash) + getOpenList().hashCode();
     }
+    hash = (37 * hash) + KEEP_UNTIL_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKeepUntilMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -351,6 +378,7 @@
         openBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      keepUntilMs_ = 0L;
       return this;
     }
 
@@ -400,6 +428,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.spentTokens_ = spentTokens_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.keepUntilMs_ = keepUntilMs_;
+      }
     }
 
     @java.lang.Override
@@ -443,6 +474,9 @@
           }
         }
       }
+      if (other.getKeepUntilMs() != 0L) {
+        setKeepUntilMs(other.getKeepUntilMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -487,6 +521,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              keepUntilMs_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -860,6 +899,50 @@
       return openBuilder_;
     }
 
+    private long keepUntilMs_ ;
+    /**
+     * <pre>
+     * the program's rows may be removed after this
+     * </pre>
+     *
+     * <code>int64 keep_until_ms = 3;</code>
+     * @return The keepUntilMs.
+     */
+    @java.lang.Override
+    public long getKeepUntilMs() {
+      return keepUntilMs_;
+    }
+    /**
+     * <pre>
+     * the program's rows may be removed after this
+     * </pre>
+     *
+     * <code>int64 keep_until_ms = 3;</code>
+     * @param value The keepUntilMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeepUntilMs(long value) {
+
+      keepUntilMs_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the program's rows may be removed after this
+     * </pre>
+     *
+     * <code>int64 keep_until_ms = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeepUntilMs() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      keepUntilMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.turns.ProgramRow)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/turns/ProgramRowOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/ProgramRowOrBuilder.java
@@ -63,4 +63,14 @@
    */
   org.celerygw.core.gen.turns.OpenTurnOrBuilder getOpenOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * the program's rows may be removed after this
+   * </pre>
+   *
+   * <code>int64 keep_until_ms = 3;</code>
+   * @return The keepUntilMs.
+   */
+  long getKeepUntilMs();
 }
--- a/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
@@ -50,14 +50,15 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013turns.proto\022\016celerygw.turns\"J\n\nProgram" +
+      "\n\013turns.proto\022\016celerygw.turns\"a\n\nProgram" +
       "Row\022\024\n\014spent_tokens\030\001 \001(\003\022&\n\004open\030\002 \003(\0132" +
-      "\030.celerygw.turns.OpenTurn\",\n\010OpenTurn\022\014\n" +
-      "\004turn\030\001 \001(\t\022\022\n\nmax_tokens\030\002 \001(\003\"w\n\007TurnR" +
-      "ow\022\026\n\016parent_program\030\001 \001(\t\022\023\n\013parent_tur" +
-      "n\030\002 \001(\t\022\r\n\005input\030\003 \001(\014\022\016\n\006output\030\004 \001(\014\022\016" +
-      "\n\006server\030\005 \001(\t\022\020\n\010ended_ms\030\006 \001(\003B\037\n\033org." +
-      "celerygw.core.gen.turnsP\001b\006proto3"
+      "\030.celerygw.turns.OpenTurn\022\025\n\rkeep_until_" +
+      "ms\030\003 \001(\003\",\n\010OpenTurn\022\014\n\004turn\030\001 \001(\t\022\022\n\nma" +
+      "x_tokens\030\002 \001(\003\"w\n\007TurnRow\022\026\n\016parent_prog" +
+      "ram\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030" +
+      "\003 \001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n" +
+      "\010ended_ms\030\006 \001(\003B\037\n\033org.celerygw.core.gen" +
+      ".turnsP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -68,7 +69,7 @@
     internal_static_celerygw_turns_ProgramRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_ProgramRow_descriptor,
-        new java.lang.String[] { "SpentTokens", "Open", });
+        new java.lang.String[] { "SpentTokens", "Open", "KeepUntilMs", });
     internal_static_celerygw_turns_OpenTurn_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_celerygw_turns_OpenTurn_fieldAccessorTable = new
--- a/core/src/main/java/org/celerygw/core/turns/Budget.java
+++ b/core/src/main/java/org/celerygw/core/turns/Budget.java
@@ -12,6 +12,7 @@
 /** The tokens of one program: spent by settled turns and reserved by open ones. */
 final class Budget {
     private long spentTokens;
+    private long keepUntilMs;
     private final Map<String, Long> openTokens = new LinkedHashMap<>();
 
     static Budget parse(ByteString value) {
@@ -19,6 +20,7 @@
             ProgramRow row = ProgramRow.parseFrom(value);
             Budget budget = new Budget();
             budget.spentTokens = row.getSpentTokens();
+            budget.keepUntilMs = row.getKeepUntilMs();
             row.getOpenList().forEach(o -> budget.openTokens.put(o.getTurn(), o.getMaxTokens()));
             return budget;
         } catch (InvalidProtocolBufferException e) {
@@ -27,7 +29,8 @@
     }
 
     ByteString bytes() {
-        ProgramRow.Builder row = ProgramRow.newBuilder().setSpentTokens(spentTokens);
+        ProgramRow.Builder row =
+                ProgramRow.newBuilder().setSpentTokens(spentTokens).setKeepUntilMs(keepUntilMs);
         openTokens.forEach(
                 (turn, max) -> row.addOpen(OpenTurn.newBuilder().setTurn(turn).setMaxTokens(max)));
         return row.build().toByteString();
@@ -36,10 +39,20 @@
     Budget copy() {
         Budget copy = new Budget();
         copy.spentTokens = spentTokens;
+        copy.keepUntilMs = keepUntilMs;
         copy.openTokens.putAll(openTokens);
         return copy;
     }
 
+    long keepUntilMs() {
+        return keepUntilMs;
+    }
+
+    /** Keeps the program at least until then. */
+    void keepUntil(long timeMs) {
+        keepUntilMs = Math.max(keepUntilMs, timeMs);
+    }
+
     boolean isOpen(String turn) {
         return openTokens.containsKey(turn);
     }
--- a/core/src/main/java/org/celerygw/core/turns/Chain.java
+++ b/core/src/main/java/org/celerygw/core/turns/Chain.java
@@ -25,4 +25,14 @@
 
     /** The chain of a turn that continues no other. */
     public static final Chain START = new Chain(Status.FOUND, "", "", new byte[0], "");
+
+    /**
+     * Returns whether the turn named belongs to a program.
+     *
+     * @param programId the program's id
+     * @return true when its rows hold the whole chain
+     */
+    public boolean within(String programId) {
+        return program.equals(Keys.safe(programId));
+    }
 }
--- a/core/src/main/java/org/celerygw/core/turns/Keys.java
+++ b/core/src/main/java/org/celerygw/core/turns/Keys.java
@@ -5,6 +5,7 @@
 
 /** Names of rows. A program's rows begin with the same text, so that one range holds them all. */
 final class Keys {
+    static final String EXPIRIES = "x/";
     private static final int MAX_PLAIN = 64;
 
     private Keys() {}
@@ -35,6 +36,19 @@
         return "i/" + turn;
     }
 
+    /** Returns the row that tells when a program may first be removed. */
+    static String expiry(long timeMs, String program) {
+        return String.format("%s%013d/%s", EXPIRIES, timeMs, program);
+    }
+
+    static long expiryMs(String key) {
+        return Long.parseLong(key.substring(EXPIRIES.length(), EXPIRIES.length() + 13));
+    }
+
+    static String expiringProgram(String key) {
+        return key.substring(EXPIRIES.length() + 14);
+    }
+
     static int partition(String program, int count) {
         int hash = Hashing.murmur3_32_fixed()
                 .hashString(program, StandardCharsets.UTF_8)
--- a/core/src/main/java/org/celerygw/core/turns/Ledger.java
+++ b/core/src/main/java/org/celerygw/core/turns/Ledger.java
@@ -21,7 +21,7 @@
  * host remembers is a cache. Not thread-safe: one event loop calls it, and the tables and the scheduler answer there.
  *
  * <pre>{@code
- * ledger.reserve(program, turn, 136, 1_088, untilMs, grant -> ...);
+ * ledger.reserve(new Reservation(program, turn, 136, 1_088, 60_000), untilMs, grant -> ...);
  * ledger.settle(program, turn, 40, kept, untilMs, grant -> ...);
  * }</pre>
  */
@@ -86,16 +86,12 @@
     /**
      * Reserves the most that a turn may generate.
      *
-     * @param program the program's id
-     * @param turn the turn's id
-     * @param maxTokens the most tokens of the turn
-     * @param budgetTokens the program's budget
+     * @param wanted what to reserve
      * @param untilMs when to give up, in ms since 1970-01-01 UTC
      * @param done told how it ended
      */
-    public void reserve(
-            String program, String turn, long maxTokens, long budgetTokens, long untilMs, Consumer<Grant> done) {
-        ask(entry(program), Wish.reserve(Keys.safe(turn), maxTokens, budgetTokens, untilMs, done));
+    public void reserve(Reservation wanted, long untilMs, Consumer<Grant> done) {
+        ask(entry(wanted.program()), Wish.reserve(wanted, untilMs, done));
     }
 
     /**
@@ -210,7 +206,7 @@
             confirm(entry);
             return;
         }
-        Draft draft = new Draft(entry, rowBytes);
+        Draft draft = new Draft(entry, rowBytes, clock.nowMs());
         Iterator<Wish> waiting = entry.wishes.iterator();
         while (waiting.hasNext() && draft.wishes.size() < MOST_WISHES && draft.bytes < MOST_BYTES) {
             Wish wish = waiting.next();
@@ -336,6 +332,7 @@
     private static final class Draft {
         private final ProgramEntry entry;
         private final int rowBytes;
+        private final long nowMs;
         private final Budget budget;
         private final List<Wish> wishes = new ArrayList<>();
         private final List<Wish> spent = new ArrayList<>();
@@ -343,9 +340,10 @@
         private boolean changed;
         private int bytes;
 
-        Draft(ProgramEntry entry, int rowBytes) {
+        Draft(ProgramEntry entry, int rowBytes, long nowMs) {
             this.entry = entry;
             this.rowBytes = rowBytes;
+            this.nowMs = nowMs;
             this.budget = entry.budget.copy();
         }
 
@@ -356,6 +354,7 @@
                     return false;
                 }
                 budget.open(wish.turn, wish.tokens);
+                budget.keepUntil(nowMs + wish.keepMs);
                 changed = true;
             } else if (!wish.reserves && budget.settle(wish.turn, wish.tokens)) {
                 if (wish.kept != null) {
@@ -373,6 +372,9 @@
             ByteString value = budget.bytes();
             List<Txn.Change> all = new ArrayList<>(changes);
             all.add(Txn.Change.put(key, value));
+            if (entry.version <= 0) {
+                all.add(Txn.Change.put(Keys.expiry(budget.keepUntilMs(), entry.program), ByteString.EMPTY));
+            }
             return new Txn(List.of(new Txn.Condition(key, Math.max(0, entry.version))), all);
         }
 
--- a/core/src/main/java/org/celerygw/core/turns/Wish.java
+++ b/core/src/main/java/org/celerygw/core/turns/Wish.java
@@ -11,6 +11,7 @@
     final long budgetTokens;
     final @Nullable KeptTurn kept;
     final long untilMs;
+    final long keepMs;
     private @Nullable Consumer<Grant> done;
     boolean written;
     boolean abandoned;
@@ -22,6 +23,7 @@
             long budgetTokens,
             @Nullable KeptTurn kept,
             long untilMs,
+            long keepMs,
             Consumer<Grant> done) {
         this.reserves = reserves;
         this.turn = turn;
@@ -29,15 +31,24 @@
         this.budgetTokens = budgetTokens;
         this.kept = kept;
         this.untilMs = untilMs;
+        this.keepMs = keepMs;
         this.done = done;
     }
 
-    static Wish reserve(String turn, long maxTokens, long budgetTokens, long untilMs, Consumer<Grant> done) {
-        return new Wish(true, turn, maxTokens, budgetTokens, null, untilMs, done);
+    static Wish reserve(Reservation wanted, long untilMs, Consumer<Grant> done) {
+        return new Wish(
+                true,
+                Keys.safe(wanted.turn()),
+                wanted.maxTokens(),
+                wanted.budgetTokens(),
+                null,
+                untilMs,
+                wanted.keepMs(),
+                done);
     }
 
     static Wish settle(String turn, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
-        return new Wish(false, turn, tokens, 0, kept, untilMs, done);
+        return new Wish(false, turn, tokens, 0, kept, untilMs, 0, done);
     }
 
     /** Tells the asker, once. */
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.time.Clock;
+import org.celerygw.core.turns.Cleaner;
 import org.celerygw.core.turns.Ledger;
 import org.celerygw.core.turns.Scheduler;
 import org.celerygw.gateway.forward.Forwarder;
@@ -45,6 +46,7 @@
     private static final String ENTRIES = "servers";
     private static final long CONFIG_GAP_MS = 100;
     private static final long SERVERS_GAP_MS = 200;
+    private static final long CLEAN_MS = 30_000;
     private static final long SWEEP_MS = 500;
     private static final long MOST_READ_MS = 5_000;
     private static final long STOP_ACCEPT_MS = 3_200;
@@ -64,6 +66,7 @@
     private final Watch configurations;
     private final Watch entries;
     private final Peers peers;
+    private final Cleaner cleaner;
     private final long startedAtMs = clock.nowMs();
     private @Nullable RouteTable table;
     private boolean serversKnown;
@@ -129,6 +132,7 @@
                 pools,
                 ledger,
                 new RequestLog(registry));
+        this.cleaner = new Cleaner(partitions, clock, settings.host().hashCode());
         configurations.start();
         entries.start();
     }
@@ -149,6 +153,7 @@
             gateway.listen().onComplete(r -> {
                 if (r.succeeded()) {
                     gateway.sweep();
+                    gateway.clean();
                     LOG.atInfo()
                             .addKeyValue("host", settings.host())
                             .addKeyValue("zone", settings.zone())
@@ -252,6 +257,11 @@
         scheduler.after(SWEEP_MS, this::sweep);
     }
 
+    private void clean() {
+        cleaner.step();
+        scheduler.after(CLEAN_MS, this::clean);
+    }
+
     private void stopStep(long sinceMs, Promise<Void> done) {
         long spentMs = clock.nowMs() - sinceMs;
         boolean accepting = spentMs < Math.min(STOP_ACCEPT_MS, settings.graceMs() / 2);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
@@ -5,10 +5,12 @@
 import org.celerygw.core.turns.Chain;
 import org.celerygw.core.turns.Grant;
 import org.celerygw.core.turns.KeptTurn;
+import org.celerygw.core.turns.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /** What the store has to do with a request: the program's budget and the history that a turn continues. */
 final class Turn {
+    private static final long SHORTEST_KEEP_MS = 60_000;
     private static final long NO_BUDGET = Long.MAX_VALUE / 4;
     private static final int MOST_INPUT_BYTES = 400_000;
 
@@ -97,7 +99,9 @@
         Call call = x.call;
         // While writes are confirmed, the server reads the prompt meanwhile; events wait for the reservation.
         boolean meanwhile = x.f.ledger.answering() && x.f.ledger.likelyFits(program, call.maxTokens(), budgetTokens);
-        x.f.ledger.reserve(program, call.id(), call.maxTokens(), budgetTokens, x.deadlineMs(), this::reserved);
+        Reservation wanted = new Reservation(
+                program, call.id(), call.maxTokens(), budgetTokens, Math.max(SHORTEST_KEEP_MS, x.route.retentionMs()));
+        x.f.ledger.reserve(wanted, x.deadlineMs(), this::reserved);
         if (meanwhile) {
             x.send();
         }
@@ -147,9 +151,7 @@
             task.run();
             return;
         }
-        Chain from = chain == null ? Chain.START : chain;
-        KeptTurn kept = new KeptTurn(
-                from.program(), from.turn(), x.request.body(), output.text(), x.server(), x.f.clock.nowMs());
+        KeptTurn kept = kept(chain == null ? Chain.START : chain, output.text());
         x.f.ledger.settle(program, call.id(), tokens, kept, x.deadlineMs(), grant -> {
             if (x.over()) {
                 return;
@@ -162,6 +164,14 @@
         });
     }
 
+    /** Returns the turn to keep; one that continues another program's holds the history itself. */
+    private KeptTurn kept(Chain from, byte[] text) {
+        long nowMs = x.f.clock.nowMs();
+        return from.within(program)
+                ? new KeptTurn(from.program(), from.turn(), x.request.body(), text, x.server(), nowMs)
+                : new KeptTurn("", "", body(), text, x.server(), nowMs);
+    }
+
     /** Ends the turn of a request that was given up after so many events. */
     void end(int events) {
         if (budgeted && !settled) {
--- a/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
@@ -14,9 +14,11 @@
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
 import org.celerygw.core.turns.Chain;
+import org.celerygw.core.turns.Cleaner;
 import org.celerygw.core.turns.Grant;
 import org.celerygw.core.turns.KeptTurn;
 import org.celerygw.core.turns.Ledger;
+import org.celerygw.core.turns.Reservation;
 import org.celerygw.standin.Fault;
 import org.celerygw.standin.Faults;
 import org.celerygw.standin.MemoryTable;
@@ -75,7 +77,7 @@
     public void reservationGivenUpDuringAnOutageIsGivenBack() {
         faults.next(Fault.LOST_ANSWER, 1);
         AtomicReference<Grant> grant = new AtomicReference<>();
-        one.reserve("p", "a", 60, 100, time.nowMs() + 5, grant::set);
+        one.reserve(new Reservation("p", "a", 60, 100, 60_000), time.nowMs() + 5, grant::set);
         time.run(3);
         faults.always(Fault.DOWN);
         time.run(2_000);
@@ -149,6 +151,37 @@
         assertEquals(reserve(ledger, "p", "b", 90, 100), Grant.DONE);
     }
 
+    @Test
+    public void programIsRemovedAfterItsTimeUnlessItIsStillUsed() {
+        keep(one, "p", "a", Chain.START, "in", "out\n");
+        keep(one, "used", "b", Chain.START, "in", "out\n");
+        time.run(80_000);
+        assertEquals(reserve(two, "used", "c", 1, 1_000), Grant.DONE);
+        clean();
+        time.run(20_000);
+        clean();
+        assertEquals(chain(host(new Faults()), "p", "a").status(), Chain.Status.MISSING);
+        assertEquals(history(chain(host(new Faults()), "used", "b")), "inout\n");
+        assertEquals(allRows("p/p/") + allRows("i/a"), 0);
+        time.run(200_000);
+        clean();
+        assertEquals(allRows("p/") + allRows("i/") + allRows("x/"), 0);
+    }
+
+    private void clean() {
+        Cleaner cleaner = new Cleaner(List.copyOf(rows), time, 0);
+        IntStream.range(0, PARTITIONS).forEach(i -> cleaner.step());
+        time.run(1_000);
+    }
+
+    private int allRows(String prefix) {
+        int[] count = new int[1];
+        rows.forEach(
+                r -> r.scan(prefix, "", 500, answer -> count[0] += answer.rows().size()));
+        time.run(100);
+        return count[0];
+    }
+
     /** A table that does one write only when told, after it has said that it knows nothing of it. */
     private final class LateTable implements Table {
         private final Table rows;
@@ -196,7 +229,7 @@
 
     private Grant reserve(Ledger ledger, String program, String turn, long max, long budget) {
         AtomicReference<Grant> grant = new AtomicReference<>();
-        ledger.reserve(program, turn, max, budget, time.nowMs() + 900, grant::set);
+        ledger.reserve(new Reservation(program, turn, max, budget, 60_000), time.nowMs() + 900, grant::set);
         time.run(1_000);
         return grant.get();
     }
