--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -203,6 +203,15 @@
         return !stopping && table != null && serversKnown;
     }
 
+    /**
+     * Returns how many other hosts were heard lately.
+     *
+     * @return a count
+     */
+    public int peersAlive() {
+        return peers.alive();
+    }
+
     long configVersion() {
         return table == null ? 0 : table.version();
     }
