Bound the logs by kind of line, and explain a request from them

Lines go through two queues on a thread of their own; warnings (refusals, failures) are never dropped for ordinary lines, and what was dropped is told. celerygw explain ID prints a request's or a program's way over all hosts. Tests: LineBudgetTest, ExplainToolTest.

--- a/cli/src/main/java/org/celerygw/cli/Tools.java
+++ b/cli/src/main/java/org/celerygw/cli/Tools.java
@@ -16,6 +16,7 @@
         ALL.put("demo", new Tool("run the whole system in one process and kill a daemon", DemoTool::run));
         ALL.put("experiment", new Tool("compare policies, or measure membership, in model time", ExperimentTool::run));
         ALL.put("load", new Tool("drive programs through running daemons and audit them", LoadTool::run));
+        ALL.put("explain", new Tool("print a request's way over all hosts from their logs", ExplainTool::run));
         ALL.put("scenario", new Tool("run scripted failures in model time", ScenarioTool::run));
         ALL.put("fuzz", new Tool("run random failures against the oracle", FuzzTool::run));
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Writes one line and counts one event for each decision about a request. */
 public final class RequestLog {
@@ -54,7 +55,7 @@
     void sendEnded(Exchange x, String server, String outcome) {
         sends.labelValues(outcome).inc();
         if (!"whole".equals(outcome)) {
-            LOG.atInfo()
+            LOG.atWarn()
                     .addKeyValue("request", x.call.id())
                     .addKeyValue("server", server)
                     .addKeyValue("outcome", outcome)
@@ -64,7 +65,7 @@
 
     void refused(@Nullable Call call, Forwarder.Refusal refusal) {
         ended.labelValues("refused", Integer.toString(refusal.status())).inc();
-        LOG.atInfo()
+        LOG.atWarn()
                 .addKeyValue("request", call == null ? "" : call.id())
                 .addKeyValue("program", call == null ? "" : call.program())
                 .addKeyValue("status", refusal.status())
@@ -77,7 +78,7 @@
         String kind = x.route.kind().name();
         ended.labelValues(kind, Integer.toString(status)).inc();
         seconds.labelValues(kind).observe(x.ageMs() / 1000.0);
-        LOG.atInfo()
+        LOG.atLevel(status < 400 ? Level.INFO : Level.WARN)
                 .addKeyValue("request", x.call.id())
                 .addKeyValue("program", x.call.program())
                 .addKeyValue("route", x.route.name())
--- a/gateway/src/main/java/org/celerygw/gateway/LogSetup.java
+++ b/gateway/src/main/java/org/celerygw/gateway/log/LogSetup.java
@@ -1,17 +1,17 @@
-package org.celerygw.gateway;
+package org.celerygw.gateway.log;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Sets up logs: one JSON object a line on standard output, written by another thread and dropped rather than waited for. */
 public final class LogSetup {
-    private static final int QUEUE_LINES = 2_048;
+    private static volatile @Nullable BoundedAppender appender;
 
     private LogSetup() {}
 
@@ -32,16 +32,13 @@
         console.setContext(context);
         console.setEncoder(encoder);
         console.start();
-        AsyncAppender async = new AsyncAppender();
-        async.setContext(context);
-        async.setNeverBlock(true);
-        async.setQueueSize(QUEUE_LINES);
-        async.setDiscardingThreshold(0);
-        async.addAppender(console);
-        async.start();
+        BoundedAppender bounded = new BoundedAppender(context, console);
+        bounded.setContext(context);
+        bounded.start();
+        appender = bounded;
         ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.WARN);
-        root.addAppender(async);
+        root.addAppender(bounded);
         for (String ours : new String[] {"host", "request", "store", "platform", "org.celerygw"}) {
             context.getLogger(ours).setLevel(Level.INFO);
         }
@@ -49,6 +46,9 @@
 
     /** Writes what still waits; to be called before the process ends. */
     public static void flush() {
-        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+        BoundedAppender installed = appender;
+        if (installed != null) {
+            installed.flush();
+        }
     }
 }
