Pass over silent and failing servers

Cause: a server that hangs, or fails part of its requests while it is healthy, kept its share; a connection that died unseen cost a request its whole deadline. Change: repeatable requests move on after silence (safe: three times the target, 250 ms at least; streams: 1.5 s before the first event, 1 s between events); failure rates that are forgotten with time and shared in digests; after silence all idle connections of that origin are closed; a third try of store calls over a fresh connection. Tests: three in ForwarderTest, failing before; ServerListTest.

--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
@@ -103,6 +103,21 @@
     return inFlight_;
   }
 
+  public static final int DOUBTFUL_FIELD_NUMBER = 3;
+  private boolean doubtful_ = false;
+  /**
+   * <pre>
+   * too many requests of this host failed there lately
+   * </pre>
+   *
+   * <code>bool doubtful = 3;</code>
+   * @return The doubtful.
+   */
+  @java.lang.Override
+  public boolean getDoubtful() {
+    return doubtful_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +138,9 @@
     if (inFlight_ != 0) {
       output.writeInt32(2, inFlight_);
     }
+    if (doubtful_ != false) {
+      output.writeBool(3, doubtful_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -139,6 +157,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(2, inFlight_);
     }
+    if (doubtful_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, doubtful_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -158,6 +180,8 @@
         .equals(other.getServer())) return false;
     if (getInFlight()
         != other.getInFlight()) return false;
+    if (getDoubtful()
+        != other.getDoubtful()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -173,6 +197,9 @@
     hash = (53 * hash) + getServer().hashCode();
     hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
     hash = (53 * hash) + getInFlight();
+    hash = (37 * hash) + DOUBTFUL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDoubtful());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -306,6 +333,7 @@
       bitField0_ = 0;
       server_ = "";
       inFlight_ = 0;
+      doubtful_ = false;
       return this;
     }
 
@@ -345,6 +373,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.inFlight_ = inFlight_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.doubtful_ = doubtful_;
+      }
     }
 
     @java.lang.Override
@@ -367,6 +398,9 @@
       if (other.getInFlight() != 0) {
         setInFlight(other.getInFlight());
       }
+      if (other.getDoubtful() != false) {
+        setDoubtful(other.getDoubtful());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -403,6 +437,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              doubtful_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -536,6 +575,50 @@
       return this;
     }
 
+    private boolean doubtful_ ;
+    /**
+     * <pre>
+     * too many requests of this host failed there lately
+     * </pre>
+     *
+     * <code>bool doubtful = 3;</code>
+     * @return The doubtful.
+     */
+    @java.lang.Override
+    public boolean getDoubtful() {
+      return doubtful_;
+    }
+    /**
+     * <pre>
+     * too many requests of this host failed there lately
+     * </pre>
+     *
+     * <code>bool doubtful = 3;</code>
+     * @param value The doubtful to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoubtful(boolean value) {
+
+      doubtful_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * too many requests of this host failed there lately
+     * </pre>
+     *
+     * <code>bool doubtful = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoubtful() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      doubtful_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.ServerLoad)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
@@ -31,4 +31,14 @@
    * @return The inFlight.
    */
   int getInFlight();
+
+  /**
+   * <pre>
+   * too many requests of this host failed there lately
+   * </pre>
+   *
+   * <code>bool doubtful = 3;</code>
+   * @return The doubtful.
+   */
+  boolean getDoubtful();
 }
--- a/core/src/main/java/org/celerygw/core/servers/Chooser.java
+++ b/core/src/main/java/org/celerygw/core/servers/Chooser.java
@@ -77,6 +77,10 @@
                 .filter(t -> t.usable() && !tried.contains(t.server().id()))
                 .toList();
         List<Tracked> awake = open.stream().filter(t -> !t.paused(nowMs)).toList();
+        List<Tracked> sound = awake.stream().filter(t -> !t.doubtful(nowMs)).toList();
+        if (!sound.isEmpty()) {
+            return sound;
+        }
         return awake.isEmpty() ? open : awake;
     }
 
--- a/core/src/main/java/org/celerygw/core/servers/Tracked.java
+++ b/core/src/main/java/org/celerygw/core/servers/Tracked.java
@@ -5,6 +5,9 @@
     private static final long FIRST_PAUSE_MS = 100;
     private static final long LONGEST_PAUSE_MS = 2_000;
     private static final long FULL_PAUSE_MS = 40;
+    private static final double RECENT_WEIGHT = 0.2;
+    private static final double DOUBTFUL_RATE = 0.25;
+    private static final double HALF_LIFE_MS = 3_000;
 
     private BackendServer server;
     private boolean gone;
@@ -12,6 +15,9 @@
     private int peersInFlight;
     private int failuresInRow;
     private long pausedUntilMs;
+    private double failureRate;
+    private long ratedAtMs;
+    private boolean peersDoubt;
 
     Tracked(BackendServer server) {
         this.server = server;
@@ -81,14 +87,28 @@
         inFlight--;
     }
 
-    /** Notes a sound answer. */
-    public void succeeded() {
+    /**
+     * Notes a sound answer.
+     *
+     * @param nowMs the time now, in ms
+     */
+    public void succeeded(long nowMs) {
         failuresInRow = 0;
         pausedUntilMs = 0;
+        rate(0, nowMs);
+    }
+
+    /**
+     * Notes that it answered, but with a failure of its own.
+     *
+     * @param nowMs the time now, in ms
+     */
+    public void answeredBadly(long nowMs) {
+        rate(1, nowMs);
     }
 
     /**
-     * Notes a failure; the server rests a while, longer each time.
+     * Notes a failure without an answer; the server rests a while, longer each time.
      *
      * @param nowMs the time now, in ms
      */
@@ -96,6 +116,47 @@
         long pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS << Math.min(failuresInRow, 5));
         failuresInRow++;
         pausedUntilMs = nowMs + pauseMs;
+        rate(1, nowMs);
+    }
+
+    /**
+     * Returns whether so many requests failed lately that others should be asked first. Failures are forgotten with
+     * time, so that it is tried again.
+     *
+     * @param nowMs the time now, in ms
+     * @return true when this host, or its peers, had too many failures
+     */
+    public boolean doubtful(long nowMs) {
+        return peersDoubt || doubtfulHere(nowMs);
+    }
+
+    /**
+     * Returns whether this host had too many failures.
+     *
+     * @param nowMs the time now, in ms
+     * @return true when others should be asked first
+     */
+    public boolean doubtfulHere(long nowMs) {
+        return rateAt(nowMs) > DOUBTFUL_RATE;
+    }
+
+    /**
+     * Notes what the peers think.
+     *
+     * @param doubt whether they had too many failures
+     */
+    public void peersDoubt(boolean doubt) {
+        peersDoubt = doubt;
+    }
+
+    private void rate(double failure, long nowMs) {
+        double before = rateAt(nowMs);
+        failureRate = before + RECENT_WEIGHT * (failure - before);
+        ratedAtMs = nowMs;
+    }
+
+    private double rateAt(long nowMs) {
+        return failureRate * Math.pow(0.5, (nowMs - ratedAtMs) / HALF_LIFE_MS);
     }
 
     /**
--- a/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
@@ -96,6 +96,19 @@
         assertFalse(a.paused(1_101));
     }
 
+    @Test
+    public void failuresAreForgottenWithTime() {
+        list.put(server("a", 1, false));
+        Tracked a = list.byId("a");
+        a.answeredBadly(0);
+        a.answeredBadly(0);
+        assertTrue(a.doubtful(0));
+        assertFalse(a.doubtful(5_000));
+        a.peersDoubt(true);
+        assertTrue(a.doubtful(5_000));
+        assertFalse(a.doubtfulHere(5_000));
+    }
+
     private static BackendServer server(String id, long bornMs, boolean draining) {
         return new BackendServer(id, "s", "127.0.0.1", 80, "z", 8, draining, bornMs);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -26,6 +26,10 @@
     private static final long FRESH_IDLE_MS = 1_500;
     private static final long ANY_IDLE_MS = 60_000;
     private static final long BUSY_COME_BACK_MS = 150;
+    private static final long SHORTEST_PATIENCE_MS = 250;
+    private static final long START_PATIENCE_MS = 1_500;
+    private static final long PAUSE_PATIENCE_MS = 1_000;
+    private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
     private static final long STORE_COME_BACK_MS = 400;
 
@@ -42,6 +46,7 @@
     private Output output;
     private Origin.@Nullable Sent sent;
     private @Nullable Tracked at;
+    private long heardAtMs;
     private int sends;
     private int runs;
     private boolean over;
@@ -112,7 +117,35 @@
         runs++;
         to.begin();
         f.log.sent(this, to.server().id(), to.load());
+        heardAtMs = f.clock.nowMs();
         sent = f.pools.to(to).send(outgoing(to), h -> f.dialect.belongs(h, call.id()), maxIdleMs(), new Sink(to));
+        if (route.repeatable()) {
+            watchSilence(sent, to);
+        }
+    }
+
+    /** Gives a silent server up as long as another one may still be asked. */
+    private void watchSilence(Origin.@Nullable Sent watched, Tracked to) {
+        long quietMs = f.clock.nowMs() - heardAtMs;
+        long patienceMs = patienceMs();
+        if (over || sent == null || sent != watched || runs >= route.maxAttempts()) {
+            return;
+        }
+        if (quietMs < patienceMs) {
+            f.scheduler.after(patienceMs - quietMs, () -> watchSilence(watched, to));
+            return;
+        }
+        sent.cancel();
+        f.pools.to(to).distrust();
+        to.failed(f.clock.nowMs());
+        lost(to, "silent");
+    }
+
+    private long patienceMs() {
+        if (route.kind() == RouteKind.SAFE) {
+            return Math.max(SHORTEST_PATIENCE_MS, 3 * route.targetLatencyMs());
+        }
+        return output.streams() ? PAUSE_PATIENCE_MS : Math.max(START_PATIENCE_MS, 6 * route.targetLatencyMs());
     }
 
     /** Answers that the request has not run. */
@@ -208,6 +241,9 @@
         if (over) {
             return;
         }
+        if (sent != null && at != null && f.clock.nowMs() - heardAtMs > PAUSE_PATIENCE_MS) {
+            f.pools.to(at).distrust();
+        }
         if (runs > 0 || reply.begun()) {
             fail(504, "the deadline passed");
         } else {
@@ -290,7 +326,7 @@
         if (a.success()) {
             return a.signed() && !a.encoded() ? Verdict.PASS : Verdict.UNSOUND;
         }
-        boolean another = route.repeatable() && runs < route.maxAttempts() && a.status() >= 500;
+        boolean another = route.repeatable() && runs < route.maxAttempts() && a.status() >= SERVER_ERROR;
         return another || output.streams() ? Verdict.FAILED : Verdict.PASS;
     }
 
@@ -306,6 +342,7 @@
 
         @Override
         public void head(HttpResponse response) {
+            heardAtMs = f.clock.nowMs();
             Answer answer = f.dialect.answer(response);
             verdict = verdict(answer);
             status = answer.status();
@@ -316,6 +353,7 @@
 
         @Override
         public void body(byte[] bytes) {
+            heardAtMs = f.clock.nowMs();
             if (!over && verdict == Verdict.PASS) {
                 output.add(bytes);
             }
@@ -325,7 +363,10 @@
         public void end() {
             switch (verdict) {
                 case NOT_RUN -> shed();
-                case FAILED -> lost(to, "failed");
+                case FAILED -> {
+                    to.answeredBadly(f.clock.nowMs());
+                    lost(to, "failed");
+                }
                 case UNSOUND -> {
                     to.failed(f.clock.nowMs());
                     lost(to, "unsound");
@@ -350,7 +391,11 @@
                 lost(to, "cut");
                 return;
             }
-            to.succeeded();
+            if (status >= SERVER_ERROR) {
+                to.answeredBadly(f.clock.nowMs());
+            } else {
+                to.succeeded(f.clock.nowMs());
+            }
             ended(to, "whole");
             if (!over) {
                 output.end();
--- a/gateway/src/main/java/org/celerygw/gateway/net/Origin.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/Origin.java
@@ -119,11 +119,16 @@
         }
     }
 
+    /** Closes idle connections: one of their kind went silent, and nothing tells whether these have too. */
+    public void distrust() {
+        idle.forEach(OriginChannel::close);
+        idle.clear();
+    }
+
     /** Closes idle connections now and the others after their answer. */
     public void close() {
         closed = true;
-        idle.forEach(OriginChannel::close);
-        idle.clear();
+        distrust();
     }
 
     private @org.jspecify.annotations.Nullable OriginChannel takeIdle(long maxIdleMs) {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/PathTable.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/PathTable.java
@@ -20,6 +20,8 @@
  */
 final class PathTable implements Table {
     private static final long SECOND_TRY_MS = 200;
+    private static final long THIRD_TRY_MS = 450;
+    private static final int QUICK_STORE_MS = 90;
 
     private final int partition;
     private final Table direct;
@@ -113,6 +115,21 @@
                 relay();
                 return;
             }
+            direct();
+            scheduler.after(SECOND_TRY_MS, () -> {
+                if (!over && peers.canRelayQuickly()) {
+                    relay();
+                }
+            });
+            scheduler.after(THIRD_TRY_MS, () -> {
+                // Where the store is usually quick, so long a silence means a connection that died unseen.
+                if (!over && health.usualMs() < QUICK_STORE_MS) {
+                    direct();
+                }
+            });
+        }
+
+        private void direct() {
             long sinceMs = clock.nowMs();
             open++;
             straight.call(answer -> {
@@ -123,11 +140,6 @@
                 }
                 end(answer);
             });
-            scheduler.after(SECOND_TRY_MS, () -> {
-                if (!over && peers.canRelayQuickly()) {
-                    relay();
-                }
-            });
         }
 
         private void relay() {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -56,6 +56,7 @@
     private static final long FORGET_MS = 60_000;
     private static final long ENROL_AGAIN_MS = 500;
     private static final long RELIST_MS = 10_000;
+    private static final int ENOUGH_DOUBTS = 2;
     private static final int MOST_TOLD = 16;
     private static final int QUICK_STORE_MS = 90;
     private static final int MOST_HOSTS = 1_000;
@@ -308,10 +309,15 @@
 
     private void countLoads() {
         Map<String, Integer> sums = new HashMap<>();
-        heard().flatMap(p -> p.digest.getLoadsList().stream())
-                .forEach(l -> sums.merge(l.getServer(), l.getInFlight(), Integer::sum));
+        Map<String, Integer> doubts = new HashMap<>();
+        heard().flatMap(p -> p.digest.getLoadsList().stream()).forEach(l -> {
+            sums.merge(l.getServer(), l.getInFlight(), Integer::sum);
+            doubts.merge(l.getServer(), l.getDoubtful() ? 1 : 0, Integer::sum);
+        });
         for (Tracked tracked : servers.all()) {
-            tracked.peersInFlight(sums.getOrDefault(tracked.server().id(), 0));
+            String id = tracked.server().id();
+            tracked.peersInFlight(sums.getOrDefault(id, 0));
+            tracked.peersDoubt(doubts.getOrDefault(id, 0) >= ENOUGH_DOUBTS);
         }
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Relay.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Relay.java
@@ -81,6 +81,7 @@
         scheduler.after(TIMEOUT_MS, () -> {
             if (!waiting.over) {
                 sent.cancel();
+                peer.distrust();
                 waiting.finish(Optional.empty());
             }
         });
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -189,8 +189,11 @@
     @Test
     public void bytesAfterAnAnswerBelongToNoRequest() throws Exception {
         ScriptedServer server = server((r, out, s) -> {
-            send(out, "200 OK", r, SIGNED, r.header("id"));
-            send(out, "200 OK", r, SIGNED, "extra");
+            // One write, so that both come in one read.
+            java.io.ByteArrayOutputStream both = new java.io.ByteArrayOutputStream();
+            send(both, "200 OK", r, SIGNED, r.header("id"));
+            send(both, "200 OK", r, SIGNED, "extra");
+            out.write(both.toByteArray());
         });
         for (int i = 0; i < 5; i++) {
             assertTrue(ask(get("/unsafe/", "r" + i)).endsWith("r" + i));
@@ -321,6 +324,49 @@
         assertTrue(stopped.await(5, TimeUnit.SECONDS));
     }
 
+    @Test
+    public void safeRequestIsAskedElsewhereWhenAServerStaysSilent() throws Exception {
+        ScriptedServer silent = server((r, out, s) -> Thread.sleep(60_000));
+        server((r, out, s) -> send(out, "200 OK", r, SIGNED, "ok"));
+        for (int i = 0; i < 8; i++) {
+            assertTrue(ask(get("/safe/", "r" + i)).endsWith("ok"));
+        }
+        assertTrue(silent.seen.size() >= 1);
+    }
+
+    @Test
+    public void resumableStreamGoesOnElsewhereWhenItsServerFallsSilent() throws Exception {
+        ScriptedServer.Script script = (r, out, s) -> {
+            boolean again = !r.header("last-event").isEmpty();
+            out.write(("HTTP/1.1 200 OK\r\nid: " + r.header("id") + "\r\nsigned: x\r\n"
+                            + "transfer-encoding: chunked\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            chunk(out, again ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n");
+            out.flush();
+            if (!again) {
+                Thread.sleep(60_000);
+            }
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        };
+        server(script);
+        server(script);
+        assertEquals(events(ask(get("/resume/", "1"))), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    }
+
+    @Test
+    public void serverThatFailsPartOfItsRequestsGetsFewOfThem() throws Exception {
+        int[] count = new int[1];
+        ScriptedServer grey =
+                server((r, out, s) -> send(out, count[0]++ % 2 == 0 ? "500 Broken" : "200 OK", r, SIGNED, "grey"));
+        ScriptedServer sound = server((r, out, s) -> send(out, "200 OK", r, SIGNED, "ok"));
+        for (int i = 0; i < 60; i++) {
+            ask(get("/unsafe/", "r" + i));
+        }
+        assertTrue(grey.seen.size() >= 2, "the failing server was never asked");
+        assertTrue(grey.seen.size() <= 15, "the failing server got " + grey.seen.size());
+        assertEquals(grey.seen.size() + sound.seen.size(), 60);
+    }
+
     @Test
     public void requestWithoutAnswerEndsAtTheRoutesTimeout() throws Exception {
         server((r, out, s) -> Thread.sleep(5_000));
