--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -177,6 +177,7 @@
         loop.execute(() -> {
             if (!stopping) {
                 stopping = true;
+                noteReadiness();
                 LOG.atInfo().addKeyValue("underWay", forwarder.underWay()).log("host: stopping");
                 listeners().forEach(l -> l.stopping(true));
                 stopStep(clock.nowMs(), promise);
@@ -244,6 +245,10 @@
     }
 
     private void probe(Incoming request, Reply reply) {
+        reply.whole(ready() ? 200 : 503, new DefaultHttpHeaders(), new byte[0]);
+    }
+
+    private void noteReadiness() {
         boolean now = ready();
         if (now != wasReady) {
             wasReady = now;
@@ -254,7 +259,6 @@
                     .addKeyValue("sinceStartMs", clock.nowMs() - startedAtMs)
                     .log("host: readiness changed");
         }
-        reply.whole(now ? 200 : 503, new DefaultHttpHeaders(), new byte[0]);
     }
 
     private void sweep() {
@@ -359,6 +363,7 @@
                     .log("config: in force");
             table = fresh;
             listeners().forEach(l -> l.maxBodyBytes(fresh.limits().maxBodyBytes()));
+            noteReadiness();
         }
     }
 
@@ -369,6 +374,7 @@
             serversKnown = true;
             servers.replace(
                     rows.stream().flatMap(r -> adapter.server(r).stream()).toList(), clock.nowMs());
+            noteReadiness();
         }
 
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -51,13 +51,13 @@
 public final class Peers {
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final Origin.Limits LIMITS = new Origin.Limits(300, 8_000, 8);
-    private static final long TICK_MS = 250;
-    private static final long ALIVE_MS = 1_300;
+    private static final long TICK_MS = 400;
+    private static final long ALIVE_MS = 3_000;
     private static final long FORGET_MS = 60_000;
     private static final long ENROL_AGAIN_MS = 500;
     private static final long RELIST_MS = 10_000;
     private static final int ENOUGH_DOUBTS = 2;
-    private static final int MOST_TOLD = 16;
+    private static final int MOST_TOLD = 6;
     private static final int QUICK_STORE_MS = 90;
     private static final int MOST_HOSTS = 1_000;
     private static final String ROW_PREFIX = "host/";
@@ -75,6 +75,7 @@
     private final View view;
     private @Nullable Channel socket;
     private int turn;
+    private int told;
 
     /** What this host tells of itself, and hears of others. */
     public interface View {
@@ -295,7 +296,8 @@
                         ServerLoad.newBuilder().setServer(t.server().id()).setInFlight(t.inFlight())));
         byte[] bytes = digest.build().toByteArray();
         List<Peer> all = new ArrayList<>(peers.values());
-        int from = all.isEmpty() ? 0 : Math.floorMod(turn++, all.size());
+        int from = all.isEmpty() ? 0 : Math.floorMod(told, all.size());
+        told += MOST_TOLD;
         IntStream.range(0, Math.min(MOST_TOLD, all.size()))
                 .mapToObj(i -> all.get((from + i) % all.size()))
                 .forEach(p -> send(bytes, p.address));
