--- a/tools/build-host.sh
+++ b/tools/build-host.sh
@@ -4,7 +4,9 @@
 cd "$(dirname "$0")/.."
 mvn -B -q -ntp -DskipTests -Dspotless.check.skip -Dcheckstyle.skip package -pl platform -am
 mkdir -p target
-cp platform/target/celerygw-platform-0.1.0-SNAPSHOT-all.jar target/celerygw-host.jar
+# Renamed into place: a running host goes on reading its classes from the file that it opened.
+cp platform/target/celerygw-platform-0.1.0-SNAPSHOT-all.jar target/new.jar
+mv target/new.jar target/celerygw-host.jar
 rm -f target/host.jsa
 java -XX:ArchiveClassesAtExit=target/host.jsa -Xmx112m -XX:+UseSerialGC -cp target/celerygw-host.jar \
   org.celerygw.platform.WarmUp > target/warm-up.log 2>&1
