Refuse a call of a program that is not known as of unknown effect

Cause: after the retention of an ended program its calls were refused with NOT_FOUND and NOT_RUN, though they may have run.

--- a/core/src/main/java/org/celerygw/core/owner/Calls.java
+++ b/core/src/main/java/org/celerygw/core/owner/Calls.java
@@ -58,7 +58,8 @@
     void submit(CallRequest call, ReplyTag tag, boolean closing) {
         Program p = recorder.programs().find(call.id().program());
         if (p == null) {
-            refuse(tag, ErrorCode.NOT_FOUND, RunState.NOT_RUN, "there is no such program");
+            // Nothing here tells a program that never was from one whose retention is over.
+            refuse(tag, ErrorCode.NOT_FOUND, RunState.UNKNOWN, "there is no such program now");
             return;
         }
         if (!p.customer().equals(call.customer()) && p.status() != Program.Status.DAMAGED) {
--- a/standin/src/test/java/org/celerygw/standin/world/FuzzTest.java
+++ b/standin/src/test/java/org/celerygw/standin/world/FuzzTest.java
@@ -37,11 +37,12 @@
 
     /**
      * Seeds that found a fault once. 7785 and 7814: a retry between an operator's settlement and its record was
-     * answered from where the unknown outcome had been written, with nothing.
+     * answered from where the unknown outcome had been written, with nothing. 20300: a call of a program whose
+     * retention was over was refused as not run, though it had run.
      */
     @Test
     public void seedsThatFoundAFaultStayClean() {
-        List<String> violations = IntStream.of(7785, 7814)
+        List<String> violations = IntStream.of(7785, 7814, 20300)
                 .mapToObj(seed -> Fuzz.run(seed, 200, false))
                 .flatMap(r -> r.violations().stream())
                 .toList();
