--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -31,7 +31,8 @@
     private static final long PAUSE_PATIENCE_MS = 1_000;
     private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
-    private static final long STORE_COME_BACK_MS = 400;
+    private static final long STORE_COME_BACK_MS = 300;
+    private static final int STORE_SPREAD_MS = 300;
 
     final Forwarder f;
     final Incoming request;
@@ -211,7 +212,9 @@
         if (runs > 0) {
             fail(502, "the store did not confirm a write in time");
         } else {
-            refuse(new Forwarder.Refusal(503, "the store does not answer", STORE_COME_BACK_MS));
+            // Spread out, so that not all come back in the same moment.
+            long comeBackMs = STORE_COME_BACK_MS + Math.floorMod(call.id().hashCode(), STORE_SPREAD_MS);
+            refuse(new Forwarder.Refusal(503, "the store does not answer", comeBackMs));
         }
     }
 
