--- a/core/src/main/java/org/celerygw/core/routes/RouteTable.java
+++ b/core/src/main/java/org/celerygw/core/routes/RouteTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -101,6 +102,6 @@
     private static String plainHost(String host) {
         int colon = host.lastIndexOf(':');
         String name = colon >= 0 ? host.substring(0, colon) : host;
-        return name.toLowerCase(java.util.Locale.ROOT);
+        return name.toLowerCase(Locale.ROOT);
     }
 }
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The backend servers known now. Entries that vanish around an outage of the store are kept until
@@ -129,7 +130,7 @@
      * @param id its id
      * @return the server, or null when it is not known
      */
-    public @org.jspecify.annotations.Nullable Tracked byId(String id) {
+    public @Nullable Tracked byId(String id) {
         return byId.get(id);
     }
 
--- a/core/src/main/java/org/celerygw/core/turns/ProgramEntry.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramEntry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 
 /** What this host remembers of a program; only a cache of its rows, besides the wishes that wait. */
@@ -34,7 +35,7 @@
         return wishes.isEmpty() && !writing && loading.isEmpty();
     }
 
-    void adopt(org.celerygw.core.store.Row row) {
+    void adopt(Row row) {
         version = row.version();
         budget = row.exists() ? Budget.parse(row.value()) : new Budget();
     }
--- a/core/src/main/java/org/celerygw/core/turns/TurnRows.java
+++ b/core/src/main/java/org/celerygw/core/turns/TurnRows.java
@@ -9,6 +9,7 @@
 import org.celerygw.core.gen.turns.TurnRow;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Txn;
+import org.jspecify.annotations.Nullable;
 
 /** Turns kept as rows, cut into pieces that fit a row. */
 final class TurnRows {
@@ -52,7 +53,7 @@
         return turns;
     }
 
-    private static @org.jspecify.annotations.Nullable KeptTurn parse(ByteString value) {
+    private static @Nullable KeptTurn parse(ByteString value) {
         try {
             TurnRow row = TurnRow.parseFrom(value);
             return new KeptTurn(
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Call.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Call.java
@@ -1,7 +1,5 @@
 package org.celerygw.gateway.forward;
 
-import java.util.List;
-
 /**
  * What a client's headers say, decoded once.
  *
@@ -12,10 +10,8 @@
  * @param program the program that it belongs to; empty for none
  * @param previousTurn the turn that it continues; empty for none
  * @param budgetTokens what all turns of the program may generate; negative when it did not say
- * @param promptTokens the size of its prompt; 0 when it did not say
  * @param maxTokens the most that it generates; 0 when it did not say
  * @param lastEventId the last event that the client has; negative when it begins at the start
- * @param prompt the ids of the parts of its prompt, in order
  */
 public record Call(
         String id,
@@ -25,15 +21,8 @@
         String program,
         String previousTurn,
         long budgetTokens,
-        long promptTokens,
         long maxTokens,
-        long lastEventId,
-        List<String> prompt) {
-    /** Copies the list. */
-    public Call {
-        prompt = List.copyOf(prompt);
-    }
-
+        long lastEventId) {
     /**
      * Returns whether this is a turn of a program with a budget.
      *
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Output.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Output.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import org.celerygw.core.events.Event;
 import org.celerygw.core.events.EventSplitter;
 import org.celerygw.core.routes.RouteKind;
@@ -95,7 +96,7 @@
     }
 
     void end() {
-        HttpHeaders head = java.util.Objects.requireNonNull(headers);
+        HttpHeaders head = Objects.requireNonNull(headers);
         if (!streams) {
             turn.end(0);
             x.reply.whole(status, head, whole.toByteArray());
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -17,8 +18,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /** One connection of a client: reads whole requests strictly, one answer after the other. */
@@ -156,8 +160,8 @@
                     dispatch();
                 }
             }
-        } catch (java.io.IOException e) {
-            throw new java.io.UncheckedIOException(e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         } finally {
             ReferenceCountUtil.release(object);
         }
@@ -175,7 +179,7 @@
     }
 
     private void dispatch() {
-        HttpRequest request = java.util.Objects.requireNonNull(head);
+        HttpRequest request = Objects.requireNonNull(head);
         Reply fresh = new Reply(this);
         reply = fresh;
         listener.handler()
@@ -195,7 +199,7 @@
                 new DefaultHttpHeaders()
                         .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE),
-                io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+                EmptyHttpHeaders.INSTANCE);
         if (ctx != null) {
             ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/net/Listener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/Listener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -66,7 +68,7 @@
                     }
                 })
                 .bind(ip, port)
-                .addListener((io.netty.channel.ChannelFuture f) -> {
+                .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         listener.server = f.channel();
                         promise.complete(listener);
@@ -86,7 +88,7 @@
      * @return the port; 0 when it does not listen
      */
     public int port() {
-        return server != null && server.localAddress() instanceof java.net.InetSocketAddress a ? a.getPort() : 0;
+        return server != null && server.localAddress() instanceof InetSocketAddress a ? a.getPort() : 0;
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/net/Origin.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/Origin.java
@@ -15,6 +15,7 @@
 import java.util.Iterator;
 import java.util.function.Predicate;
 import org.celerygw.core.time.Clock;
+import org.jspecify.annotations.Nullable;
 
 /** Connections to one address, one request at a time on each; used on the event loop only. */
 public final class Origin {
@@ -131,7 +132,7 @@
         distrust();
     }
 
-    private @org.jspecify.annotations.Nullable OriginChannel takeIdle(long maxIdleMs) {
+    private @Nullable OriginChannel takeIdle(long maxIdleMs) {
         while (!idle.isEmpty()) {
             OriginChannel channel = idle.pollLast();
             long limitMs = Math.min(maxIdleMs, channel.keepMs(limits.maxIdleMs()));
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -169,7 +170,7 @@
                 r.uri(),
                 Unpooled.wrappedBuffer(r.body()),
                 r.headers(),
-                io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+                EmptyHttpHeaders.INSTANCE);
         boolean hasBody =
                 r.body().length > 0 || HttpMethod.POST.equals(r.method()) || HttpMethod.PUT.equals(r.method());
         if (hasBody) {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -163,7 +164,7 @@
                 .channel(NioDatagramChannel.class)
                 .handler(new Receiver())
                 .bind(self)
-                .addListener((io.netty.channel.ChannelFuture f) -> {
+                .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         socket = f.channel();
                         promise.complete();
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -8,13 +8,16 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -30,6 +33,7 @@
 import org.celerygw.core.turns.Scheduler;
 import org.celerygw.gateway.SteadyClock;
 import org.celerygw.gateway.net.Listener;
+import org.celerygw.standin.Fault;
 import org.celerygw.standin.Faults;
 import org.celerygw.standin.MemoryTable;
 import org.testng.annotations.AfterClass;
@@ -190,7 +194,7 @@
     public void bytesAfterAnAnswerBelongToNoRequest() throws Exception {
         ScriptedServer server = server((r, out, s) -> {
             // One write, so that both come in one read.
-            java.io.ByteArrayOutputStream both = new java.io.ByteArrayOutputStream();
+            ByteArrayOutputStream both = new ByteArrayOutputStream();
             send(both, "200 OK", r, SIGNED, r.header("id"));
             send(both, "200 OK", r, SIGNED, "extra");
             out.write(both.toByteArray());
@@ -297,7 +301,7 @@
     @Test
     public void turnIsRefusedWhileTheStoreIsAway() throws Exception {
         ScriptedServer server = server((r, out, s) -> stream(r, out, "x"));
-        faults.always(org.celerygw.standin.Fault.DOWN);
+        faults.always(Fault.DOWN);
         ask(turn("a", "", "in").replace("left-ms: 2000", "left-ms: 300"));
         int before = server.seen.size();
         String answer = ask(turn("b", "", "in").replace("left-ms: 2000", "left-ms: 300"));
@@ -308,12 +312,12 @@
     @Test
     public void whileTheStoreIsAwayOneTurnTriesAndTheOthersAreRefusedAtOnce() throws Exception {
         ScriptedServer server = server((r, out, s) -> stream(r, out, "x"));
-        faults.always(org.celerygw.standin.Fault.DOWN);
-        var first = java.util.concurrent.CompletableFuture.supplyAsync(() -> {
+        faults.always(Fault.DOWN);
+        var first = CompletableFuture.supplyAsync(() -> {
             try {
                 return ask(turn("a", "", "in"));
             } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
+                throw new UncheckedIOException(e);
             }
         });
         while (server.seen.isEmpty()) {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.List;
 import org.celerygw.gateway.net.Incoming;
 
 /** A dialect with short names, so that the gateway's tests know no platform. */
@@ -18,10 +17,8 @@
                 h.get("program", ""),
                 h.get("previous", ""),
                 Long.parseLong(h.get("budget", "-1")),
-                0,
                 Long.parseLong(h.get("max", "0")),
-                Long.parseLong(h.get("last-event", "-1")),
-                List.of());
+                Long.parseLong(h.get("last-event", "-1")));
     }
 
     @Override
