--- a/core/src/main/java/org/celerygw/core/turns/Ledger.java
+++ b/core/src/main/java/org/celerygw/core/turns/Ledger.java
@@ -43,7 +43,6 @@
     private final LinkedHashMap<String, ProgramEntry> entries = new LinkedHashMap<>(256, 0.75f, true);
     private long usedBytes;
     private int unknownInRow;
-    private int waiting;
 
     /**
      * Makes a ledger.
@@ -71,15 +70,6 @@
         return unknownInRow < 2;
     }
 
-    /**
-     * Returns whether a call to the store is under way, or a write waits to be tried again.
-     *
-     * @return true when another call would tell no more
-     */
-    public boolean trying() {
-        return waiting > 0;
-    }
-
     /**
      * Returns whether a turn most likely fits the budget, as far as this host remembers.
      *
@@ -170,11 +160,9 @@
     }
 
     private void page(ProgramEntry entry, String after, List<Row> rows) {
-        waiting++;
         entry.table.scan(Keys.rows(entry.program), after, SCAN_ROWS, answer -> {
             rows.addAll(answer.rows());
             if (answer.ok() && answer.rows().size() >= SCAN_ROWS) {
-                waiting--;
                 page(entry, rows.get(rows.size() - 1).key(), rows);
                 return;
             }
@@ -246,7 +234,6 @@
 
     private void confirm(ProgramEntry entry) {
         entry.writing = true;
-        waiting++;
         entry.table.read(List.of(Keys.program(entry.program)), answer -> {
             entry.writing = false;
             noteAnswer(answer.ok());
@@ -261,7 +248,6 @@
 
     private void write(ProgramEntry entry, Draft draft) {
         entry.writing = true;
-        waiting++;
         draft.wishes.forEach(w -> w.written = true);
         entry.table.write(draft.txn(), result -> {
             entry.writing = false;
@@ -306,7 +292,6 @@
     }
 
     private void noteAnswer(boolean ok) {
-        waiting--;
         unknownInRow = ok ? 0 : unknownInRow + 1;
     }
 
@@ -314,11 +299,7 @@
         long pauseMs = Math.min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS << Math.min(unknownInRow, 4));
         // Hosts that met the same outage come back spread out.
         long spreadMs = Math.floorMod(entry.program.hashCode() + clock.nowMs(), pauseMs + 1);
-        waiting++;
-        scheduler.after(pauseMs / 2 + spreadMs, () -> {
-            waiting--;
-            pump(entry, false);
-        });
+        scheduler.after(pauseMs / 2 + spreadMs, () -> pump(entry, false));
     }
 
     /** Gives up reservations whose time is over; one that may be in the store is given back. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
@@ -64,12 +64,6 @@
             x.refuse(new Forwarder.Refusal(413, "the input is too large to be kept", 0));
             return;
         }
-        if (budgeted && !x.f.ledger.answering() && x.f.ledger.trying()) {
-            // Known not to be servable now: another turn's write already waits for the store.
-            settled = true;
-            x.storeUnavailable();
-            return;
-        }
         if (keeps && !x.call.previousTurn().isEmpty()) {
             x.f.ledger.chain(program, x.call.previousTurn(), this::continues);
         } else {
