Let an owner that may have lost its slots deny nothing

Refusals of such a host are replaced by 'cannot confirm', but only those that say NOT_RUN; since an unknown program is refused as UNKNOWN, which slipped through. Change: everything but an answer or a call that ran is replaced. Ruled out: held-back confirmations do not refresh the lease (it counts from the write's start).

--- a/core/src/main/java/org/celerygw/core/owner/Io.java
+++ b/core/src/main/java/org/celerygw/core/owner/Io.java
@@ -39,7 +39,8 @@
     }
 
     private static Effect doubt(Effect.Reply r) {
-        if (r.outcome().runState() != RunState.NOT_RUN) {
+        // An answer, or that the call ran, was recorded; anything else may have changed at another owner since.
+        if (r.outcome().isAnswer() || r.outcome().runState() == RunState.RUN) {
             return r;
         }
         String message = "this host can't confirm now that it owns the program";
--- a/core/src/test/java/org/celerygw/core/owner/OwnerTest.java
+++ b/core/src/test/java/org/celerygw/core/owner/OwnerTest.java
@@ -189,6 +189,31 @@
         assertEquals(replies.get(submit(call(9, "k9", "body"))).code(), ErrorCode.BUDGET_EXCEEDED);
     }
 
+    /** Another host may have taken the slot and created the program since. */
+    @Test
+    public void anOwnerThatWakesAfterItsLeaseDoesNotDenyAProgram() {
+        nowMs += 60_000;
+        long tag = ++tags;
+        CallRequest call = call(1, "k1", "body");
+        CallRequest elsewhere = new CallRequest(
+                CUSTOMER,
+                new CallId(new ProgramId("p2"), 1),
+                call.key(),
+                call.kind(),
+                call.target(),
+                true,
+                call.deadlineMs(),
+                call.bodyDigest(),
+                "",
+                call.body(),
+                100,
+                100,
+                List.of());
+        owner.handle(new Event.Submitted(elsewhere, new ReplyTag(tag)), nowMs)
+                .forEach(effect -> act(effect, new ArrayDeque<>()));
+        assertEquals(replies.get(tag).code(), ErrorCode.STORE_UNAVAILABLE);
+    }
+
     @Test
     public void showsAProgramAsJson() {
         submit(call(1, "k1", "body"));
