Tell peers which servers fail, and scale loads heard to the whole fleet

Cause: digests left out the doubtful mark (nothing called setDoubtful), so a grey server was found out by each host alone; and with 64 hosts at six tellings each 400 ms only about two thirds of the peers are heard within 3 s, so the load at servers was counted too low. Change: core/peers counts digests without I/O, tells doubts, and scales a sample to all living hosts.

--- a/cli/src/main/java/org/celerygw/cli/load/Audit.java
+++ b/cli/src/main/java/org/celerygw/cli/load/Audit.java
@@ -86,6 +86,10 @@
                 result.calls().stream().collect(Collectors.groupingBy(ProgramResult.Call::program));
         byProgram.forEach((program, calls) -> {
             JsonObject record = explain.apply(program);
+            if (record.containsKey("error")) {
+                faults.add("the record of " + program + " cannot be read: " + record.getJsonObject("error"));
+                return;
+            }
             List<JsonObject> recorded = record.getJsonArray("calls", new JsonArray()).stream()
                     .map(JsonObject.class::cast)
                     .toList();
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -30,9 +30,9 @@
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
-import org.celerygw.core.gen.peers.ServerLoad;
+import org.celerygw.core.peers.FleetLoad;
+import org.celerygw.core.peers.Told;
 import org.celerygw.core.servers.ServerList;
-import org.celerygw.core.servers.Tracked;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
@@ -53,11 +53,9 @@
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final Origin.Limits LIMITS = new Origin.Limits(300, 8_000, 8);
     private static final long TICK_MS = 400;
-    private static final long ALIVE_MS = 3_000;
     private static final long FORGET_MS = 60_000;
     private static final long ENROL_AGAIN_MS = 500;
     private static final long RELIST_MS = 10_000;
-    private static final int ENOUGH_DOUBTS = 2;
     private static final int MOST_TOLD = 6;
     private static final int QUICK_STORE_MS = 90;
     private static final int MOST_HOSTS = 1_000;
@@ -72,6 +70,7 @@
     private final ServerList servers;
     private final StoreHealth health;
     private final Relay relay;
+    private final FleetLoad fleet = new FleetLoad(MOST_TOLD, TICK_MS);
     private final Map<InetSocketAddress, Peer> peers = new HashMap<>();
     private final View view;
     private @Nullable Channel socket;
@@ -231,8 +230,8 @@
     private Stream<Peer> heard() {
         long nowMs = clock.nowMs();
         return peers.values().stream()
-                .filter(p ->
-                        nowMs - p.heardAtMs < ALIVE_MS && !p.digest.getHost().isEmpty());
+                .filter(p -> nowMs - p.heardAtMs < FleetLoad.FRESH_MS
+                        && !p.digest.getHost().isEmpty());
     }
 
     /** Writes this host's row and reads the others', until both have worked; then only to see who came and went. */
@@ -290,11 +289,8 @@
                 .setConfigVersion(view.configVersion())
                 .setStoreAnswers(health.answers())
                 .setStoreMs(health.usualMs())
-                .setLeaving(view.leaving());
-        servers.all().stream()
-                .filter(t -> t.inFlight() > 0)
-                .forEach(t -> digest.addLoads(
-                        ServerLoad.newBuilder().setServer(t.server().id()).setInFlight(t.inFlight())));
+                .setLeaving(view.leaving())
+                .addAllLoads(FleetLoad.own(servers, clock.nowMs()));
         byte[] bytes = digest.build().toByteArray();
         List<Peer> all = new ArrayList<>(peers.values());
         int from = all.isEmpty() ? 0 : Math.floorMod(told, all.size());
@@ -311,17 +307,11 @@
     }
 
     private void countLoads() {
-        Map<String, Integer> sums = new HashMap<>();
-        Map<String, Integer> doubts = new HashMap<>();
-        heard().flatMap(p -> p.digest.getLoadsList().stream()).forEach(l -> {
-            sums.merge(l.getServer(), l.getInFlight(), Integer::sum);
-            doubts.merge(l.getServer(), l.getDoubtful() ? 1 : 0, Integer::sum);
-        });
-        for (Tracked tracked : servers.all()) {
-            String id = tracked.server().id();
-            tracked.peersInFlight(sums.getOrDefault(id, 0));
-            tracked.peersDoubt(doubts.getOrDefault(id, 0) >= ENOUGH_DOUBTS);
-        }
+        List<Told> told = peers.values().stream()
+                .filter(p -> !p.digest.getHost().isEmpty())
+                .map(p -> new Told(p.digest, p.heardAtMs))
+                .toList();
+        fleet.count(told, servers, clock.nowMs());
     }
 
     private void heard(InetSocketAddress from, byte[] bytes) {
