--- a/cli/src/main/java/org/celerygw/cli/load/BackendView.java
+++ b/cli/src/main/java/org/celerygw/cli/load/BackendView.java
@@ -21,6 +21,7 @@
 /** What the stand-in back ends saw and hold, asked over HTTP. Its methods block. */
 public final class BackendView {
     private static final long ANSWER_TIMEOUT_MS = 5_000;
+    private static final int MOST_TRIES = 3;
     private static final long RELEASE_PATIENCE_MS = 30_000;
 
     private final HttpClient client;
@@ -73,25 +74,35 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Reads a view; asked again when a kept connection closes in the same moment, as any client would. */
     private JsonObject get(URI server, String path) {
+        for (int left = MOST_TRIES; ; left--) {
+            try {
+                return once(server, path);
+            } catch (ExecutionException | TimeoutException e) {
+                if (left == 1) {
+                    throw new GatewayException(
+                            ErrorCode.NO_BACKEND, "The stand-in at " + server + " does not answer: " + e);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new GatewayException(ErrorCode.CANCELLED, "Interrupted.");
+            }
+        }
+    }
+
+    private JsonObject once(URI server, String path) throws ExecutionException, TimeoutException, InterruptedException {
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.GET)
                 .setHost(server.getHost())
                 .setPort(server.getPort())
                 .setURI(path);
-        try {
-            return client.request(options)
-                    .compose(r -> r.send())
-                    .compose(HttpClientResponse::body)
-                    .map(Buffer::toJsonObject)
-                    .toCompletionStage()
-                    .toCompletableFuture()
-                    .get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            throw new GatewayException(ErrorCode.NO_BACKEND, "The stand-in at " + server + " does not answer.");
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new GatewayException(ErrorCode.CANCELLED, "Interrupted.");
-        }
+        return client.request(options)
+                .compose(r -> r.send())
+                .compose(HttpClientResponse::body)
+                .map(Buffer::toJsonObject)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 }
