Wait for the store as long as a turn can still be served, and no longer

Change: histories are read again, spread out, and both waits end when the request could no longer be answered in time by what is usual for its route; then 503 with a return time.

--- a/core/src/main/java/org/celerygw/core/turns/Ledger.java
+++ b/core/src/main/java/org/celerygw/core/turns/Ledger.java
@@ -1,6 +1,5 @@
 package org.celerygw.core.turns;
 
-import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -9,7 +8,6 @@
 import java.util.function.Consumer;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
-import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
 import org.celerygw.core.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -124,14 +122,24 @@
     }
 
     /**
-     * Reads what a turn continues from.
+     * Reads what a turn continues from; reads again while the store does not answer.
      *
      * @param program the program's id
      * @param previous the turn that it continues
+     * @param untilMs when to give up, in ms since 1970-01-01 UTC
      * @param done given the chain
      */
-    public void chain(String program, String previous, Consumer<Chain> done) {
-        new ChainReader(this, done).start(entry(program), Keys.safe(previous));
+    public void chain(String program, String previous, long untilMs, Consumer<Chain> done) {
+        ProgramEntry entry = entry(program);
+        ChainReader reader = new ChainReader(this, found -> {
+            long pauseMs = pauseMs(entry);
+            if (found.status() == Chain.Status.UNAVAILABLE && clock.nowMs() + pauseMs < untilMs) {
+                scheduler.after(pauseMs, () -> chain(program, previous, untilMs, done));
+            } else {
+                done.accept(found);
+            }
+        });
+        reader.start(entry, Keys.safe(previous));
     }
 
     ProgramEntry entry(String program) {
@@ -296,10 +304,13 @@
     }
 
     private void pumpLater(ProgramEntry entry) {
+        scheduler.after(pauseMs(entry), () -> pump(entry, false));
+    }
+
+    /** Returns how long to wait before the store is asked again; hosts that met the same outage come back spread out. */
+    private long pauseMs(ProgramEntry entry) {
         long pauseMs = Math.min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS << Math.min(unknownInRow, 4));
-        // Hosts that met the same outage come back spread out.
-        long spreadMs = Math.floorMod(entry.program.hashCode() + clock.nowMs(), pauseMs + 1);
-        scheduler.after(pauseMs / 2 + spreadMs, () -> pump(entry, false));
+        return pauseMs / 2 + Math.floorMod(entry.program.hashCode() + clock.nowMs(), pauseMs + 1);
     }
 
     /** Gives up reservations whose time is over; one that may be in the store is given back. */
@@ -327,61 +338,4 @@
             }
         }
     }
-
-    /** One transaction in the making. */
-    private static final class Draft {
-        private final ProgramEntry entry;
-        private final int rowBytes;
-        private final long nowMs;
-        private final Budget budget;
-        private final List<Wish> wishes = new ArrayList<>();
-        private final List<Wish> spent = new ArrayList<>();
-        private final List<Txn.Change> changes = new ArrayList<>();
-        private boolean changed;
-        private int bytes;
-
-        Draft(ProgramEntry entry, int rowBytes, long nowMs) {
-            this.entry = entry;
-            this.rowBytes = rowBytes;
-            this.nowMs = nowMs;
-            this.budget = entry.budget.copy();
-        }
-
-        /** Adds a wish; returns false when the budget does not hold it. */
-        boolean take(Wish wish) {
-            if (wish.reserves && !budget.isOpen(wish.turn)) {
-                if (!budget.fits(wish.tokens, wish.budgetTokens)) {
-                    return false;
-                }
-                budget.open(wish.turn, wish.tokens);
-                budget.keepUntil(nowMs + wish.keepMs);
-                changed = true;
-            } else if (!wish.reserves && budget.settle(wish.turn, wish.tokens)) {
-                if (wish.kept != null) {
-                    changes.addAll(TurnRows.write(entry.program, wish.turn, wish.kept, rowBytes));
-                }
-                changed = true;
-            }
-            bytes += wish.bytes();
-            wishes.add(wish);
-            return true;
-        }
-
-        Txn txn() {
-            String key = Keys.program(entry.program);
-            ByteString value = budget.bytes();
-            List<Txn.Change> all = new ArrayList<>(changes);
-            all.add(Txn.Change.put(key, value));
-            if (entry.version <= 0) {
-                all.add(Txn.Change.put(Keys.expiry(budget.keepUntilMs(), entry.program), ByteString.EMPTY));
-            }
-            return new Txn(List.of(new Txn.Condition(key, Math.max(0, entry.version))), all);
-        }
-
-        void putBack(ProgramEntry to) {
-            for (int i = wishes.size() - 1; i >= 0; i--) {
-                to.wishes.addFirst(wishes.get(i));
-            }
-        }
-    }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -42,6 +42,7 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final Turn turn;
+    private final long patienceMs;
     private final long deadlineMs;
     private final Set<String> tried = new HashSet<>();
     private Output output;
@@ -64,7 +65,7 @@
         this.route = route;
         this.routes = routes;
         this.service = routes.service(route.service(draw())).orElse(null);
-        long patienceMs = call.deadlineMs() < 0 ? route.timeoutMs() : Math.min(call.deadlineMs(), route.timeoutMs());
+        this.patienceMs = call.deadlineMs() < 0 ? route.timeoutMs() : Math.min(call.deadlineMs(), route.timeoutMs());
         this.deadlineMs = request.arrivedMs() + patienceMs;
         this.turn = new Turn(this);
         this.output = new Output(this, turn);
@@ -84,6 +85,11 @@
         return deadlineMs;
     }
 
+    /** Returns when the request would have to be sent at the latest to be answered in time, by what is usual. */
+    long lastStartMs() {
+        return deadlineMs - Math.min(f.usual.usualMs(route), patienceMs / 2);
+    }
+
     long ageMs() {
         return f.clock.nowMs() - request.arrivedMs();
     }
@@ -152,12 +158,12 @@
     /** Gives a silent server up as long as another one may still be asked. */
     private void watchSilence(Origin.@Nullable Sent watched, Tracked to) {
         long quietMs = f.clock.nowMs() - heardAtMs;
-        long patienceMs = patienceMs();
+        long silenceMs = silenceMs();
         if (over || sent == null || sent != watched || runs >= route.maxAttempts()) {
             return;
         }
-        if (quietMs < patienceMs) {
-            f.scheduler.after(patienceMs - quietMs, () -> watchSilence(watched, to));
+        if (quietMs < silenceMs) {
+            f.scheduler.after(silenceMs - quietMs, () -> watchSilence(watched, to));
             return;
         }
         sent.cancel();
@@ -166,7 +172,7 @@
         lost(to, "silent");
     }
 
-    private long patienceMs() {
+    private long silenceMs() {
         if (route.kind() == RouteKind.SAFE) {
             return Math.max(SHORTEST_PATIENCE_MS, 3 * route.targetLatencyMs());
         }
@@ -204,6 +210,7 @@
     void succeeded(int status) {
         if (!over) {
             close();
+            f.usual.took(route.name(), serverMs);
             f.log.ended(this, status, "answered");
         }
     }
@@ -214,7 +221,7 @@
         } else {
             // Spread out, so that not all come back in the same moment.
             long comeBackMs = STORE_COME_BACK_MS + Math.floorMod(call.id().hashCode(), STORE_SPREAD_MS);
-            refuse(new Forwarder.Refusal(503, "the store does not answer", comeBackMs));
+            refuse(new Forwarder.Refusal(503, "the store did not answer while there was time", comeBackMs));
         }
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteTable;
+import org.celerygw.core.routes.UsualTimes;
 import org.celerygw.core.servers.Chooser;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
@@ -30,6 +31,7 @@
     final Pools pools;
     final Ledger ledger;
     final RequestLog log;
+    final UsualTimes usual = new UsualTimes();
     private final Supplier<@Nullable RouteTable> table;
     private int underWay;
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
@@ -65,7 +65,7 @@
             return;
         }
         if (keeps && !x.call.previousTurn().isEmpty()) {
-            x.f.ledger.chain(program, x.call.previousTurn(), this::continues);
+            x.f.ledger.chain(program, x.call.previousTurn(), x.lastStartMs(), this::continues);
         } else {
             continues(Chain.START);
         }
@@ -101,7 +101,8 @@
         boolean meanwhile = x.f.ledger.answering() && x.f.ledger.likelyFits(program, call.maxTokens(), budgetTokens);
         Reservation wanted = new Reservation(
                 program, call.id(), call.maxTokens(), budgetTokens, Math.max(SHORTEST_KEEP_MS, x.route.retentionMs()));
-        x.f.ledger.reserve(wanted, x.deadlineMs(), this::reserved);
+        // Not sent yet, it is refused as soon as it could no longer be answered in time.
+        x.f.ledger.reserve(wanted, meanwhile ? x.deadlineMs() : x.lastStartMs(), this::reserved);
         if (meanwhile) {
             x.send();
         }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -307,6 +307,18 @@
         assertEquals(server.seen.size(), before);
     }
 
+    /** The route's target is 100 ms: a turn that was not sent by then cannot be answered before its deadline. */
+    @Test
+    public void turnIsRefusedBeforeItsDeadlineOnceItCanNoLongerBeServed() throws Exception {
+        server((r, out, s) -> stream(r, out, "x"));
+        faults.always(Fault.DOWN);
+        ask(turn("a", "", "in").replace("left-ms: 2000", "left-ms: 300"));
+        String answer = ask(turn("b", "", "in"));
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        // At the deadline it would be told to come back after 0.15 s; for the store, after 0.3 to 0.6 s.
+        assertTrue(answer.matches("(?s).*retry-after: 0\\.[3-5].*"), answer);
+    }
+
     @Test
     public void clientThatLeavesStopsTheStreamAtTheServer() throws Exception {
         CountDownLatch stopped = new CountDownLatch(1);
--- a/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
@@ -125,6 +125,15 @@
         assertEquals(chain(one, "q", "none").status(), Chain.Status.UNAVAILABLE);
     }
 
+    /** A turn that came to a host without its program in a short outage was refused, and its program failed. */
+    @Test
+    public void chainIsReadAgainWhileThereIsTime() {
+        keep(one, "p", "a", Chain.START, "in1 ", "out1\n");
+        Faults outage = new Faults().next(Fault.DOWN, 3);
+        assertEquals(history(chain(host(outage), "p", "a", 900)), "in1 out1\n");
+        assertEquals(chain(host(new Faults().always(Fault.DOWN)), "p", "a", 900).status(), Chain.Status.UNAVAILABLE);
+    }
+
     @Test
     public void longTurnIsCutIntoRowsAndJoined() {
         String input = "x".repeat(1_000);
@@ -249,8 +258,12 @@
     }
 
     private Chain chain(Ledger ledger, String program, String previous) {
+        return chain(ledger, program, previous, 0);
+    }
+
+    private Chain chain(Ledger ledger, String program, String previous, long patienceMs) {
         AtomicReference<Chain> found = new AtomicReference<>();
-        ledger.chain(program, previous, c -> {
+        ledger.chain(program, previous, time.nowMs() + patienceMs, c -> {
             assertNull(found.get());
             found.set(c);
         });
