Reserve ahead for a program's next turns, and let one program ask for a silent partition

Change: a write that is due anyway also reserves for up to two turns that have not come, where the budget has room for three more; a turn that finds one begins without a write, and is settled by the name of its reservation. While a partition does not answer, one program at a time asks it. The settlement of a program whose rows were removed keeps its turn.

--- a/core/src/main/java/org/celerygw/core/turns/Budget.java
+++ b/core/src/main/java/org/celerygw/core/turns/Budget.java
@@ -11,6 +11,9 @@
 
 /** The tokens of one program: spent by settled turns and reserved by open ones. */
 final class Budget {
+    /** What names of reservations made ahead begin with; no turn's name does. */
+    static final String AHEAD = "+";
+
     private long spentTokens;
     private long keepUntilMs;
     private final Map<String, Long> openTokens = new LinkedHashMap<>();
@@ -63,6 +66,11 @@
         return spentTokens + reserved + maxTokens <= budgetTokens;
     }
 
+    /** Returns how many reservations were made ahead, by any host. */
+    long ahead() {
+        return openTokens.keySet().stream().filter(t -> t.startsWith(AHEAD)).count();
+    }
+
     void open(String turn, long maxTokens) {
         openTokens.put(turn, maxTokens);
     }
--- a/core/src/main/java/org/celerygw/core/turns/Ledger.java
+++ b/core/src/main/java/org/celerygw/core/turns/Ledger.java
@@ -29,43 +29,52 @@
     private static final int SCAN_ROWS = 500;
     private static final int MOST_ENTRIES = 20_000;
     private static final long LAZY_MS = 400;
-    private static final long SHORTEST_PAUSE_MS = 40;
-    private static final long LONGEST_PAUSE_MS = 400;
     private static final long GIVE_BACK_MS = 15_000;
 
     private final List<Table> partitions;
+    private final String holder;
     private final Clock clock;
     private final Scheduler scheduler;
     private final int rowBytes;
     private final long cacheBytes;
     private final LinkedHashMap<String, ProgramEntry> entries = new LinkedHashMap<>(256, 0.75f, true);
     private long usedBytes;
-    private int unknownInRow;
+    private final List<Gate> gates;
+    private long aheads;
+    private long keptTurns;
+    private long begunAhead;
 
     /**
      * Makes a ledger.
      *
      * @param partitions the store's partitions; the same number on every host, always
+     * @param holder names this process; no other process, earlier or later, has the same
      * @param clock tells the time
      * @param scheduler runs retries
      * @param rowBytes the most bytes of a row's value
      * @param cacheBytes how much of the turns' text is remembered
      */
-    public Ledger(List<Table> partitions, Clock clock, Scheduler scheduler, int rowBytes, long cacheBytes) {
+    public Ledger(
+            List<Table> partitions, String holder, Clock clock, Scheduler scheduler, int rowBytes, long cacheBytes) {
         this.partitions = List.copyOf(partitions);
+        this.holder = holder;
         this.clock = clock;
         this.scheduler = scheduler;
         this.rowBytes = rowBytes;
         this.cacheBytes = cacheBytes;
+        this.gates = partitions.stream()
+                .map(p -> new Gate(clock, scheduler, entry -> pump(entry, false)))
+                .toList();
     }
 
     /**
-     * Returns whether writes are confirmed at present.
+     * Returns whether writes for a program are confirmed at present.
      *
-     * @return false after two writes in a row of which nothing is known
+     * @param program the program's id
+     * @return false after two calls in a row to its partition of which nothing is known
      */
-    public boolean answering() {
-        return unknownInRow < 2;
+    public boolean answering(String program) {
+        return gates.get(Keys.partition(Keys.safe(program), partitions.size())).answering();
     }
 
     /**
@@ -89,7 +98,15 @@
      * @param done told how it ended
      */
     public void reserve(Reservation wanted, long untilMs, Consumer<Grant> done) {
-        ask(entry(wanted.program()), Wish.reserve(wanted, untilMs, done));
+        ProgramEntry entry = entry(wanted.program());
+        entry.asked(wanted);
+        boolean inBudget = entry.budget.fits(0, wanted.budgetTokens());
+        if (inBudget && entry.spares.bind(Keys.safe(wanted.turn()), wanted.maxTokens(), clock.nowMs())) {
+            begunAhead++;
+            done.accept(Grant.DONE);
+            return;
+        }
+        ask(entry, Wish.reserve(wanted, untilMs, done));
     }
 
     /**
@@ -104,7 +121,8 @@
      */
     public void settle(
             String program, String turn, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
-        ask(entry(program), Wish.settle(Keys.safe(turn), tokens, kept, untilMs, done));
+        ProgramEntry entry = entry(program);
+        ask(entry, settlement(entry, turn, tokens, kept, untilMs, done));
     }
 
     /**
@@ -117,10 +135,16 @@
      */
     public void settleLater(String program, String turn, long tokens) {
         ProgramEntry entry = entry(program);
-        entry.wishes.add(Wish.settle(Keys.safe(turn), tokens, null, clock.nowMs() + GIVE_BACK_MS, g -> {}));
+        entry.wishes.add(settlement(entry, turn, tokens, null, clock.nowMs() + GIVE_BACK_MS, g -> {}));
         scheduler.after(LAZY_MS, () -> pump(entry, false));
     }
 
+    private static Wish settlement(
+            ProgramEntry entry, String turn, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
+        String safe = Keys.safe(turn);
+        return Wish.settle(safe, entry.spares.release(safe), tokens, kept, untilMs, done);
+    }
+
     /**
      * Reads what a turn continues from; reads again while the store does not answer.
      *
@@ -142,6 +166,42 @@
         reader.start(entry, Keys.safe(previous));
     }
 
+    /**
+     * Returns how many turns this host has kept in the store.
+     *
+     * @return a count
+     */
+    public long keptTurns() {
+        return keptTurns;
+    }
+
+    /**
+     * Returns how many turns found a reservation made ahead.
+     *
+     * @return a count
+     */
+    public long begunAhead() {
+        return begunAhead;
+    }
+
+    /**
+     * Returns how many programs wait for a write to end or to begin.
+     *
+     * @return a count
+     */
+    public long waiting() {
+        return entries.values().stream().filter(e -> !e.wishes.isEmpty()).count();
+    }
+
+    /**
+     * Returns how many programs this host remembers.
+     *
+     * @return a count
+     */
+    public int remembered() {
+        return entries.size();
+    }
+
     ProgramEntry entry(String program) {
         String safe = Keys.safe(program);
         ProgramEntry known = entries.get(safe);
@@ -174,7 +234,7 @@
                 page(entry, rows.get(rows.size() - 1).key(), rows);
                 return;
             }
-            noteAnswer(answer.ok());
+            gate(entry).answered(answer.ok());
             if (answer.ok()) {
                 take(entry, rows);
             }
@@ -191,7 +251,7 @@
         String key = Keys.program(entry.program);
         rows.stream()
                 .filter(r -> r.key().equals(key) && !entry.writing && r.version() > entry.version)
-                .forEach(entry::adopt);
+                .forEach(r -> entry.adopt(r, clock.nowMs()));
     }
 
     private void ask(ProgramEntry entry, Wish wish) {
@@ -241,12 +301,15 @@
     }
 
     private void confirm(ProgramEntry entry) {
+        if (!gate(entry).pass(entry)) {
+            return;
+        }
         entry.writing = true;
         entry.table.read(List.of(Keys.program(entry.program)), answer -> {
             entry.writing = false;
-            noteAnswer(answer.ok());
+            gate(entry).answered(answer.ok());
             if (answer.ok()) {
-                entry.adopt(answer.rows().get(0));
+                entry.adopt(answer.rows().get(0), clock.nowMs());
                 pump(entry, true);
             } else {
                 pumpLater(entry);
@@ -255,16 +318,22 @@
     }
 
     private void write(ProgramEntry entry, Draft draft) {
+        if (!gate(entry).pass(entry)) {
+            draft.putBack(entry);
+            return;
+        }
         entry.writing = true;
         draft.wishes.forEach(w -> w.written = true);
+        draft.reserveAhead(() -> Budget.AHEAD + holder + "-" + aheads++);
+        draft.spares().forEach(name -> entry.spares.writing(name, entry.maxTokens));
         entry.table.write(draft.txn(), result -> {
             entry.writing = false;
-            noteAnswer(result.status() != TxnResult.Status.UNKNOWN);
+            gate(entry).answered(result.status() != TxnResult.Status.UNKNOWN);
             switch (result.status()) {
                 case COMMITTED -> committed(entry, draft, result.version());
                 case CONFLICT -> {
                     draft.putBack(entry);
-                    result.found().forEach(entry::adopt);
+                    result.found().forEach(r -> entry.adopt(r, clock.nowMs()));
                     pump(entry, true);
                 }
                 case UNKNOWN -> {
@@ -277,10 +346,12 @@
 
     private void committed(ProgramEntry entry, Draft draft, long version) {
         entry.budget = draft.budget;
+        draft.spares().forEach(name -> entry.spares.written(name, clock.nowMs()));
         entry.version = version > 0 ? version : ProgramEntry.UNKNOWN;
         long before = entry.bytes;
         draft.wishes.forEach(w -> {
             if (w.kept != null) {
+                keptTurns++;
                 entry.remember(w.turn, w.kept);
             }
         });
@@ -296,11 +367,11 @@
     }
 
     private void giveBack(ProgramEntry entry, Wish wish) {
-        entry.wishes.add(Wish.settle(wish.turn, 0, null, clock.nowMs() + GIVE_BACK_MS, g -> {}));
+        entry.wishes.add(Wish.settle(wish.turn, wish.turn, 0, null, clock.nowMs() + GIVE_BACK_MS, g -> {}));
     }
 
-    private void noteAnswer(boolean ok) {
-        unknownInRow = ok ? 0 : unknownInRow + 1;
+    private Gate gate(ProgramEntry entry) {
+        return gates.get(entry.partition);
     }
 
     private void pumpLater(ProgramEntry entry) {
@@ -309,7 +380,7 @@
 
     /** Returns how long to wait before the store is asked again; hosts that met the same outage come back spread out. */
     private long pauseMs(ProgramEntry entry) {
-        long pauseMs = Math.min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS << Math.min(unknownInRow, 4));
+        long pauseMs = gate(entry).pauseMs();
         return pauseMs / 2 + Math.floorMod(entry.program.hashCode() + clock.nowMs(), pauseMs + 1);
     }
 
--- a/core/src/main/java/org/celerygw/core/turns/ProgramEntry.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramEntry.java
@@ -20,10 +20,14 @@
     final Deque<Wish> wishes = new ArrayDeque<>();
     final Map<String, KeptTurn> turns = new HashMap<>();
     final List<Consumer<Boolean>> loading = new ArrayList<>();
+    final Spares spares = new Spares();
     Budget budget = new Budget();
     long version = UNKNOWN;
     boolean writing;
     long bytes;
+    long keepMs;
+    long maxTokens;
+    long budgetTokens;
 
     ProgramEntry(String program, int partition, Table table) {
         this.program = program;
@@ -32,12 +36,20 @@
     }
 
     boolean idle() {
-        return wishes.isEmpty() && !writing && loading.isEmpty();
+        return wishes.isEmpty() && !writing && loading.isEmpty() && spares.idle();
     }
 
-    void adopt(Row row) {
+    /** Notes what a turn asks for; the next one of this program will ask for no more, mostly. */
+    void asked(Reservation wanted) {
+        keepMs = Math.max(keepMs, wanted.keepMs());
+        maxTokens = Math.max(maxTokens, wanted.maxTokens());
+        budgetTokens = wanted.budgetTokens();
+    }
+
+    void adopt(Row row, long nowMs) {
         version = row.version();
         budget = row.exists() ? Budget.parse(row.value()) : new Budget();
+        spares.compare(budget, nowMs);
     }
 
     void remember(String turn, KeptTurn kept) {
--- a/core/src/main/java/org/celerygw/core/turns/Wish.java
+++ b/core/src/main/java/org/celerygw/core/turns/Wish.java
@@ -7,6 +7,7 @@
 final class Wish {
     final boolean reserves;
     final String turn;
+    final String reservation;
     final long tokens;
     final long budgetTokens;
     final @Nullable KeptTurn kept;
@@ -19,6 +20,7 @@
     private Wish(
             boolean reserves,
             String turn,
+            String reservation,
             long tokens,
             long budgetTokens,
             @Nullable KeptTurn kept,
@@ -27,6 +29,7 @@
             Consumer<Grant> done) {
         this.reserves = reserves;
         this.turn = turn;
+        this.reservation = reservation;
         this.tokens = tokens;
         this.budgetTokens = budgetTokens;
         this.kept = kept;
@@ -39,6 +42,7 @@
         return new Wish(
                 true,
                 Keys.safe(wanted.turn()),
+                Keys.safe(wanted.turn()),
                 wanted.maxTokens(),
                 wanted.budgetTokens(),
                 null,
@@ -47,8 +51,9 @@
                 done);
     }
 
-    static Wish settle(String turn, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
-        return new Wish(false, turn, tokens, 0, kept, untilMs, 0, done);
+    static Wish settle(
+            String turn, String reservation, long tokens, @Nullable KeptTurn kept, long untilMs, Consumer<Grant> done) {
+        return new Wish(false, turn, reservation, tokens, 0, kept, untilMs, 0, done);
     }
 
     /** Tells the asker, once. */
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -105,7 +105,9 @@
                 new NotedFeed(adapter.configurations(), health), clock, scheduler, CONFIG_GAP_MS, new ConfigListener());
         this.entries = new Watch(
                 new NotedFeed(adapter.servers(), health), clock, scheduler, SERVERS_GAP_MS, new ServerListener());
-        List<Table> partitions = adapter.partitions(settings.partitions());
+        List<Table> partitions = adapter.partitions(settings.partitions()).stream()
+                .map(t -> (Table) new MeteredTable(t, clock, metrics::stored))
+                .toList();
         this.peers = new Peers(
                 loop,
                 clock,
@@ -121,7 +123,14 @@
                 new PeersView());
         configurations.peers(done -> peers.feed(CONFIGURATIONS, done));
         entries.peers(done -> peers.feed(ENTRIES, done));
-        Ledger ledger = new Ledger(peers.throughPeers(partitions), clock, scheduler, settings.rowBytes(), CACHE_BYTES);
+        Ledger ledger = new Ledger(
+                peers.throughPeers(partitions),
+                settings.host() + "-" + Long.toString(startedAtMs, Character.MAX_RADIX),
+                clock,
+                scheduler,
+                settings.rowBytes(),
+                CACHE_BYTES);
+        metrics.watch(peers, ledger);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Turn.java
@@ -98,12 +98,13 @@
         }
         Call call = x.call;
         // While writes are confirmed, the server reads the prompt meanwhile; events wait for the reservation.
-        boolean meanwhile = x.f.ledger.answering() && x.f.ledger.likelyFits(program, call.maxTokens(), budgetTokens);
+        boolean meanwhile =
+                x.f.ledger.answering(program) && x.f.ledger.likelyFits(program, call.maxTokens(), budgetTokens);
         Reservation wanted = new Reservation(
                 program, call.id(), call.maxTokens(), budgetTokens, Math.max(SHORTEST_KEEP_MS, x.route.retentionMs()));
         // Not sent yet, it is refused as soon as it could no longer be answered in time.
         x.f.ledger.reserve(wanted, meanwhile ? x.deadlineMs() : x.lastStartMs(), this::reserved);
-        if (meanwhile) {
+        if (meanwhile && !granted) {
             x.send();
         }
     }
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -76,6 +76,7 @@
     private @Nullable Channel socket;
     private int turn;
     private int told;
+    private long relayed;
 
     /** What this host tells of itself, and hears of others. */
     public interface View {
@@ -206,6 +207,15 @@
         return (int) heard().count();
     }
 
+    /**
+     * Returns how many store calls of this host were given to peers.
+     *
+     * @return a count
+     */
+    public long relayed() {
+        return relayed;
+    }
+
     boolean canRelay() {
         return heard().anyMatch(p -> p.digest.getStoreAnswers());
     }
@@ -224,6 +234,7 @@
             return;
         }
         Peer peer = able.get(Math.floorMod(turn++ + host.hashCode(), able.size()));
+        relayed++;
         relay.call(peer.origin, call, done);
     }
 
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -83,7 +83,7 @@
                 servers,
                 new Chooser("z"),
                 pools,
-                new Ledger(rows, clock, scheduler, 60_000, 1_000_000),
+                new Ledger(rows, "host", clock, scheduler, 60_000, 1_000_000),
                 new RequestLog(new PrometheusRegistry()));
         CountDownLatch up = new CountDownLatch(1);
         Listener.start(loop, clock, "127.0.0.1", 0, forwarder).onSuccess(l -> {
--- a/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/LedgerTest.java
@@ -6,6 +6,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -33,6 +35,7 @@
     private Faults faults;
     private Ledger one;
     private Ledger two;
+    private int hosts;
 
     @BeforeMethod
     public void start() {
@@ -82,10 +85,10 @@
         faults.always(Fault.DOWN);
         time.run(2_000);
         assertEquals(grant.get(), Grant.UNAVAILABLE);
-        assertFalse(one.answering());
+        assertFalse(one.answering("p"));
         faults.clear();
         time.run(3_000);
-        assertTrue(one.answering());
+        assertTrue(one.answering("p"));
         assertEquals(reserve(two, "p", "b", 100, 100), Grant.DONE);
     }
 
@@ -98,6 +101,76 @@
         assertEquals(writes() - before, 1);
     }
 
+    /** Each program asked by itself during an outage, some hundred times a second in all. */
+    @Test
+    public void outageCostsFewCallsHoweverManyProgramsWait() {
+        CountingTable counted = new CountingTable(rows.get(0).on(time, faults));
+        Ledger ledger = new Ledger(List.of(counted), "counting", time, time, 200, 1_000_000);
+        faults.always(Fault.DOWN);
+        List<Grant> grants = new ArrayList<>();
+        IntStream.range(0, 200)
+                .forEach(i -> ledger.reserve(
+                        new Reservation("p" + i, "t", 1, 100, 60_000), time.nowMs() + 8_000, grants::add));
+        time.run(500);
+        long before = counted.calls;
+        time.run(5_000);
+        assertTrue(counted.calls - before <= 5_000 / 200, counted.calls - before + " calls in 5 s");
+        faults.clear();
+        time.run(1_000);
+        assertEquals(grants, Collections.nCopies(200, Grant.DONE));
+    }
+
+    /** The next turns of a program run during an outage, within the budget, and are settled after it. */
+    @Test
+    public void turnReservedAheadNeedsNoStore() {
+        assertEquals(reserve(one, "p", "a", 10, 100), Grant.DONE);
+        faults.always(Fault.DOWN);
+        long before = writes();
+        assertEquals(reserve(one, "p", "b", 10, 100), Grant.DONE);
+        assertEquals(reserve(one, "p", "c", 10, 100), Grant.DONE);
+        assertEquals(writes(), before);
+        assertEquals(reserve(one, "p", "d", 10, 100), Grant.UNAVAILABLE);
+        // While nothing is settled, all three count at their most for every other host.
+        assertEquals(reserve(two, "p", "e", 71, 100), Grant.SPENT);
+        faults.clear();
+        assertEquals(settle(one, "p", "a", 10, null), Grant.DONE);
+        KeptTurn kept = new KeptTurn("", "", bytes("in "), bytes("out\n"), "s", time.nowMs());
+        faults.next(Fault.LOST_ANSWER, 2);
+        assertEquals(settle(one, "p", "b", 4, kept), Grant.DONE);
+        assertEquals(settle(one, "p", "c", 6, null), Grant.DONE);
+        assertEquals(history(chain(two, "p", "b")), "in out\n");
+        // 20 are spent and two more turns are reserved ahead.
+        assertEquals(reserve(two, "p", "f", 60, 100), Grant.DONE);
+        assertEquals(reserve(two, "p", "g", 1, 100), Grant.SPENT);
+    }
+
+    @Test
+    public void nothingIsReservedAheadWhereTheBudgetIsShort() {
+        assertEquals(reserve(one, "p", "a", 30, 100), Grant.DONE);
+        assertEquals(reserve(two, "p", "b", 70, 100), Grant.DONE);
+    }
+
+    /** A turn that was reserved ahead is kept although the program's rows were removed before it was settled. */
+    @Test
+    public void settlementOfARemovedProgramKeepsItsTurn() {
+        assertEquals(reserve(one, "p", "a", 10, 100), Grant.DONE);
+        time.run(300_000);
+        clean();
+        assertEquals(allRows("p/"), 0);
+        KeptTurn kept = new KeptTurn("", "", bytes("in "), bytes("out\n"), "s", time.nowMs());
+        assertEquals(settle(one, "p", "a", 4, kept), Grant.DONE);
+        assertEquals(history(chain(two, "p", "a")), "in out\n");
+    }
+
+    @Test
+    public void reservationMadeAheadIsNotUsedAfterItsTime() {
+        assertEquals(reserve(one, "p", "a", 10, 100), Grant.DONE);
+        time.run(21_000);
+        long before = writes();
+        assertEquals(reserve(one, "p", "b", 10, 100), Grant.DONE);
+        assertEquals(writes() - before, 1);
+    }
+
     @Test
     public void chainIsRebuiltByAnyHostInOrder() {
         keep(one, "p", "a", Chain.START, "in1 ", "out1\n");
@@ -151,7 +224,7 @@
     @Test
     public void lateWriteOfAnEarlierTryChangesNothing() {
         LateTable late = new LateTable(rows.get(0));
-        Ledger ledger = new Ledger(List.of(late), time, time, 200, 1_000_000);
+        Ledger ledger = new Ledger(List.of(late), "late", time, time, 200, 1_000_000);
         late.holdNext = true;
         assertEquals(reserve(ledger, "p", "a", 60, 100), Grant.DONE);
         assertEquals(settle(ledger, "p", "a", 10, null), Grant.DONE);
@@ -227,9 +300,37 @@
         }
     }
 
+    /** Counts the calls made. */
+    private static final class CountingTable implements Table {
+        private final Table rows;
+        private long calls;
+
+        CountingTable(Table rows) {
+            this.rows = rows;
+        }
+
+        @Override
+        public void write(Txn txn, Consumer<TxnResult> done) {
+            calls++;
+            rows.write(txn, done);
+        }
+
+        @Override
+        public void read(List<String> keys, Consumer<Answer> done) {
+            calls++;
+            rows.read(keys, done);
+        }
+
+        @Override
+        public void scan(String prefix, String afterKey, int limit, Consumer<Answer> done) {
+            calls++;
+            rows.scan(prefix, afterKey, limit, done);
+        }
+    }
+
     private Ledger host(Faults seen) {
         List<Table> tables = rows.stream().map(r -> (Table) r.on(time, seen)).toList();
-        return new Ledger(tables, time, time, 200, 1_000_000);
+        return new Ledger(tables, "host" + ++hosts, time, time, 200, 1_000_000);
     }
 
     private long writes() {
