Let a host rewrite only slot rows that are still its own

Cause (fuzz seed 31335): a host that was sealed and did not know it yet cleared the chain of a slot. Its write met a conflict, it learned the row of the host that had claimed the slot since, and on the next try wrote its own old row over that one, under the version just learned. Two hosts then served one program, and calls answered by one ran again at the other. Ruled out: leases and seals (the seal held), late copies of writes (their condition fails). Change: a rewrite leaves out slots whose row names another owner or epoch. Test: seed 31335 failed before, passes now; the six seeds of the regression list are clean.

--- a/core/src/main/java/org/celerygw/core/ownership/Ownership.java
+++ b/core/src/main/java/org/celerygw/core/ownership/Ownership.java
@@ -403,13 +403,25 @@
         if (write != null) {
             return false;
         }
-        write(rows, landed -> {
+        List<Claim> still = rows.stream().filter(r -> isStillMine(r.slot())).toList();
+        if (still.isEmpty()) {
+            done.accept(List.of());
+            return true;
+        }
+        write(still, landed -> {
             landed.forEach(this::adopt);
             done.accept(landed);
         });
         return true;
     }
 
+    /** Another host may have claimed a slot of this one, which was sealed and does not know it yet. */
+    private boolean isStillMine(Slot slot) {
+        SlotRow own = mine.get(slot);
+        SlotRow now = at(slot).row();
+        return own != null && now.getOwner().equals(host.value()) && now.getEpoch() == own.getEpoch();
+    }
+
     private void adopt(Claim claim) {
         if (claim.row().getOwner().equals(host.value())) {
             mine.put(claim.slot(), claim.row());
--- a/standin/src/test/java/org/celerygw/standin/world/FuzzTest.java
+++ b/standin/src/test/java/org/celerygw/standin/world/FuzzTest.java
@@ -40,11 +40,12 @@
      * answered from where the unknown outcome had been written, with nothing. 20300: a call of a program whose
      * retention was over was refused as not run, though it had run. 20387: an owner that woke after its lease denied a
      * program that another host had created meanwhile. 31160: a slot that was handed over and claimed again while a
-     * snapshot was written lost its chain, and with it its programs.
+     * snapshot was written lost its chain, and with it its programs. 31335: a sealed host wrote its row over that of the
+     * host that had claimed the slot since, and two hosts served one program.
      */
     @Test
     public void seedsThatFoundAFaultStayClean() {
-        List<String> violations = IntStream.of(7785, 7814, 20300, 20387, 31160)
+        List<String> violations = IntStream.of(7785, 7814, 20300, 20387, 31160, 31335)
                 .mapToObj(seed -> Fuzz.run(seed, 200, false))
                 .flatMap(r -> r.violations().stream())
                 .toList();
