--- a/core/src/main/java/org/celerygw/core/turns/Gate.java
+++ b/core/src/main/java/org/celerygw/core/turns/Gate.java
@@ -8,7 +8,7 @@
 import org.celerygw.core.time.Clock;
 
 /**
- * Lets calls to one partition of the store through. While it does not answer, one program at a time asks, and the
+ * A circuit breaker before one partition of the store. While that does not answer, one program at a time asks, and the
  * others wait for how that ends: an outage costs the store a few calls a second, however many programs wait.
  */
 final class Gate {
