Take ports for daemons from below those of outgoing connections

The demo chose ports that the system also gives to outgoing connections, and freed them before the daemon listened, so that another socket, or its own next choice, could take them.

--- a/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
+++ b/cli/src/main/java/org/celerygw/cli/demo/LocalDeployment.java
@@ -6,10 +6,6 @@
 import io.vertx.core.net.SocketAddress;
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.common.ServiceMethod;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -31,6 +27,7 @@
 import org.celerygw.core.gen.config.Configuration;
 import org.celerygw.daemon.Daemon;
 import org.celerygw.daemon.settings.Settings;
+import org.celerygw.standin.FreePorts;
 import org.celerygw.standin.Standin;
 import org.celerygw.standin.StandinOptions;
 
@@ -55,7 +52,7 @@
         this.operators = GrpcClient.client(vertx);
         this.extraSettings = extraSettings;
         this.gossipPorts =
-                IntStream.range(0, daemonCount).mapToObj(i -> freePort()).toList();
+                IntStream.range(0, daemonCount).mapToObj(i -> FreePorts.next()).toList();
     }
 
     /**
@@ -277,9 +274,9 @@
                 "release = demo",
                 "[listen]",
                 "address = 127.0.0.1",
-                "http-port = " + freePort(),
-                "operator-port = " + freePort(),
-                "peer-port = " + freePort(),
+                "http-port = " + FreePorts.next(),
+                "operator-port = " + FreePorts.next(),
+                "peer-port = " + FreePorts.next(),
                 "gossip-port = " + gossipPorts.get(index),
                 "[advertise]",
                 "address = 127.0.0.1",
@@ -298,12 +295,4 @@
                 extraSettings,
                 "");
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/cli/src/test/java/org/celerygw/cli/MainTest.java
+++ b/cli/src/test/java/org/celerygw/cli/MainTest.java
@@ -6,15 +6,14 @@
 
 import io.vertx.core.json.JsonObject;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.io.PrintStream;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.celerygw.api.gen.operator.ConfigReply;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.gen.config.Configuration;
 import org.celerygw.daemon.settings.Settings;
+import org.celerygw.standin.FreePorts;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -66,11 +65,8 @@
     }
 
     @Test
-    public void daemonThatDoesNotListenIsUnreachableAndTheRequestDidNotRun() throws IOException {
-        int port;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            port = socket.getLocalPort();
-        }
+    public void daemonThatDoesNotListenIsUnreachableAndTheRequestDidNotRun() {
+        int port = FreePorts.next();
         assertEquals(
                 run("program", "end", "p", "--key", "hunter2", "--server", "127.0.0.1:" + port),
                 UnreachableException.EXIT_CODE);
