Make the conditions of three daemon tests instead of waiting for them

Cause: refusedConnectionIsReportedAsNotRun freed a port and expected it to stay closed; nonRepeatableCallNeverUsesPooledConnection gave the first call of a cold JVM 400 ms; silentConnectionIsDroppedAndReplaced needs the client to notice the silence first, but both sides had the same limit, and a close by the server passes the proxy where only one direction is dropped (TcpFaultProxy.Relay.channelInactive). Change: the refused port is held by a bound socket that does not listen; calls that must be answered have 15 s, only those that are never answered keep 400 ms; the server of the silent connection is patient, so that the client alone closes it. Assertions are as before, and the calls before a silence are now asserted to have run. Which of two possible causes (taken port, 400 ms) failed refusedConnectionIsReportedAsNotRun once is not proven; both are gone.

--- a/daemon/src/test/java/org/celerygw/daemon/backend/BackendsTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/backend/BackendsTest.java
@@ -4,6 +4,8 @@
 
 import com.google.protobuf.ByteString;
 import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -20,7 +22,11 @@
 import org.testng.annotations.Test;
 
 public final class BackendsTest {
-    private static final long TIMEOUT_MS = 400;
+    /** For calls that must be answered; the first one in a new JVM takes several hundred ms. */
+    private static final long TIMEOUT_MS = 15_000;
+
+    /** For calls that are never answered. */
+    private static final long SILENCE_TIMEOUT_MS = 400;
 
     private Vertx vertx;
     private ToolServer toolServer;
@@ -49,9 +55,12 @@
 
     @Test
     public void refusedConnectionIsReportedAsNotRun() throws Exception {
-        toolServer.close().await();
-        Outcome outcome = call("k1", false);
-        assertEquals(List.of(outcome.code(), outcome.runState()), List.of(ErrorCode.NO_BACKEND, RunState.NOT_RUN));
+        // A bound socket that does not listen refuses connections and keeps other processes off its port.
+        try (Socket bound = new Socket()) {
+            bound.bind(new InetSocketAddress("127.0.0.1", 0));
+            Outcome outcome = call(new BackendAddress("127.0.0.1", bound.getLocalPort()), "k1", false, TIMEOUT_MS);
+            assertEquals(List.of(outcome.code(), outcome.runState()), List.of(ErrorCode.NO_BACKEND, RunState.NOT_RUN));
+        }
     }
 
     @DataProvider
@@ -67,13 +76,14 @@
     @Test(dataProvider = "faultsAfterSending")
     public void responseLossIsReportedWithUnknownRunState(Fault fault, ErrorCode code) throws Exception {
         toolServer.faults().injectNext(fault, 1);
-        Outcome outcome = call("k1", false);
+        long timeoutMs = fault == Fault.HANG ? SILENCE_TIMEOUT_MS : TIMEOUT_MS;
+        Outcome outcome = call(address(), "k1", false, timeoutMs);
         assertEquals(List.of(outcome.code(), outcome.runState()), List.of(code, RunState.UNKNOWN));
     }
 
     @Test
     public void nonRepeatableCallNeverUsesPooledConnection() throws Exception {
-        call("k1", true);
+        assertEquals(call("k1", true).runState(), RunState.RUN);
         toolServer.silenceConnections();
         assertEquals(call("k2", false).runState(), RunState.RUN);
         assertEquals(toolServer.executions().size(), 2);
@@ -81,9 +91,9 @@
 
     @Test
     public void silentPooledConnectionFailsOneRepeatableCallAndIsThenReplaced() throws Exception {
-        call("k1", true);
+        assertEquals(call("k1", true).runState(), RunState.RUN);
         toolServer.silenceConnections();
-        assertEquals(call("k2", true).runState(), RunState.UNKNOWN);
+        assertEquals(call(address(), "k2", true, SILENCE_TIMEOUT_MS).runState(), RunState.UNKNOWN);
         assertEquals(call("k3", true).runState(), RunState.RUN);
     }
 
@@ -102,9 +112,13 @@
     }
 
     private Outcome call(String key, boolean repeatable) throws Exception {
+        return call(address(), key, repeatable, TIMEOUT_MS);
+    }
+
+    private Outcome call(BackendAddress address, String key, boolean repeatable, long timeoutMs) throws Exception {
         ByteString body = ByteString.copyFromUtf8("{\"calf\":7}");
         ToolRequest request =
-                new ToolRequest(address(), "/records/declare", key, "application/json", body, TIMEOUT_MS, repeatable);
+                new ToolRequest(address, "/records/declare", key, "application/json", body, timeoutMs, repeatable);
         return await(vertx, callback -> client.sendToolCall(request, callback));
     }
 
--- a/daemon/src/test/java/org/celerygw/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/peer/PeerLinksTest.java
@@ -39,6 +39,10 @@
             MembershipKeys.single(ByteString.copyFromUtf8("a shared key of sixteen or more"));
     private static final PeerSettings SETTINGS =
             new PeerSettings(2, 2000, 100, 400, 1 << 20, 16 << 10, 64 << 10, 64, 1 << 20);
+    /** Settings of a peer that does not notice a silent connection during a test. */
+    private static final PeerSettings PATIENT_SETTINGS =
+            new PeerSettings(2, 2000, 60_000, 240_000, 1 << 20, 16 << 10, 64 << 10, 64, 1 << 20);
+
     private static final long LONG_TIMEOUT_MS = 30_000;
 
     private final List<AutoCloseable> closeables = new ArrayList<>();
@@ -314,7 +318,8 @@
     private void checkSilentConnectionIsReplaced(boolean toServer, boolean toClient) {
         AtomicInteger requestsServed = new AtomicInteger();
         CountDownLatch requestReceived = new CountDownLatch(1);
-        InetSocketAddress peer = serve((method, request, responder) -> {
+        // Only the client may close the silent connection: a close by the server is not counted as a missed heartbeat.
+        InetSocketAddress peer = listen(createLinks(KEYS, PATIENT_SETTINGS), (method, request, responder) -> {
             requestsServed.incrementAndGet();
             if (method.equals("hang")) {
                 requestReceived.countDown();
@@ -347,8 +352,12 @@
     }
 
     private PeerLinks createLinks(MembershipKeys keys) {
+        return createLinks(keys, SETTINGS);
+    }
+
+    private PeerLinks createLinks(MembershipKeys keys, PeerSettings settings) {
         PeerLinks links =
-                new PeerLinks(SETTINGS, keys, new HostId("host-" + closeables.size()), "v1", System::currentTimeMillis);
+                new PeerLinks(settings, keys, new HostId("host-" + closeables.size()), "v1", System::currentTimeMillis);
         closeables.add(links);
         return links;
     }
