Close a stopping daemon only after half a second without a request

Change: GracefulStop closes after no request has arrived for 500 ms, or at the time limit; CallerServer counts the requests received. Test: GracefulStopTest, written after the change: a request that arrives when the host is idle postpones the close; the code before had no such wait and closed at the first tick.

--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -504,6 +504,11 @@
                 return DaemonVerticle.this.requestsInFlight() + peerLinks.openStreams();
             }
 
+            @Override
+            public long requestsReceived() {
+                return callerServer.requestsReceived();
+            }
+
             @Override
             public void close() {
                 Future.fromCompletionStage(fleet.gossip().leave(), context)
--- a/daemon/src/main/java/org/celerygw/daemon/GracefulStop.java
+++ b/daemon/src/main/java/org/celerygw/daemon/GracefulStop.java
@@ -8,11 +8,13 @@
 
 /**
  * Stops a host without cutting off requests: reports not ready, keeps serving for the grace period in which the load
- * balancer detects that, hands over its slots, waits for the requests in flight, and closes. When the time limit
- * passes first, the remaining requests are cut off.
+ * balancer detects that, hands over its slots, waits for the requests in flight and then until no request has arrived for
+ * {@value #QUIET_MS} ms, and closes. When the time limit passes first, the remaining requests are cut off.
  */
 final class GracefulStop {
     private static final Logger LOG = LoggerFactory.getLogger(GracefulStop.class);
+    /** A request sent before its client noticed the stop may still be on its way or unread. */
+    private static final long QUIET_MS = 500;
 
     private final Vertx vertx;
     private final Settings.Stop settings;
@@ -20,6 +22,8 @@
     private final Steps steps;
     private Stage stage = Stage.RUNNING;
     private long deadlineMs;
+    private long quietSinceMs;
+    private long lastRequestsReceived;
 
     private enum Stage {
         RUNNING,
@@ -42,6 +46,9 @@
         /** Returns the number of requests in flight. */
         int requestsInFlight();
 
+        /** Returns the number of requests received since the start, whether they have ended or not. */
+        long requestsReceived();
+
         /** Closes all ports and connections. */
         void close();
     }
@@ -77,6 +84,7 @@
 
     private void drain() {
         stage = Stage.DRAINING;
+        quietSinceMs = clock.nowMs();
         LOG.info("stop: handing over the slots; {} requests in flight.", steps.requestsInFlight());
         steps.startSlotHandover();
     }
@@ -85,8 +93,14 @@
         if (stage != Stage.DRAINING) {
             return;
         }
+        long nowMs = clock.nowMs();
         boolean drained = steps.isSlotHandoverComplete() && steps.requestsInFlight() == 0;
-        if (!drained && clock.nowMs() < deadlineMs) {
+        long requestsReceived = steps.requestsReceived();
+        if (!drained || requestsReceived != lastRequestsReceived) {
+            lastRequestsReceived = requestsReceived;
+            quietSinceMs = nowMs;
+        }
+        if (nowMs - quietSinceMs < QUIET_MS && nowMs < deadlineMs) {
             return;
         }
         stage = Stage.CLOSED;
--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -13,6 +13,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -44,6 +45,7 @@
 
     private final Dependencies dependencies;
     private final AtomicInteger requestsInFlight = new AtomicInteger();
+    private final AtomicLong requestsReceived = new AtomicLong();
     private final AtomicInteger openConnections = new AtomicInteger();
     private final HttpServer server;
     private Configuration keysConfiguration = Configuration.getDefaultInstance();
@@ -121,6 +123,15 @@
         return requestsInFlight.get();
     }
 
+    /**
+     * Returns how many requests have been received.
+     *
+     * @return the number of requests since the start
+     */
+    public long requestsReceived() {
+        return requestsReceived.get();
+    }
+
     /**
      * Stops listening and closes all connections.
      *
@@ -169,6 +180,7 @@
     }
 
     private void trackRequest(RoutingContext context) {
+        requestsReceived.incrementAndGet();
         requestsInFlight.incrementAndGet();
         if (dependencies.stopping().getAsBoolean()) {
             // Callers and the load balancer must not reuse connections to a host that is about to close them.
