--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -31,6 +31,7 @@
     host_ = "";
     loads_ = java.util.Collections.emptyList();
     zone_ = "";
+    started_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -241,19 +242,19 @@
   public static final int WAITING_FIELD_NUMBER = 8;
   private static final class WaitingDefaultEntryHolder {
     static final com.google.protobuf.MapEntry<
-        java.lang.String, java.lang.Integer> defaultEntry =
+        java.lang.String, org.celerygw.core.gen.peers.Waiting> defaultEntry =
             com.google.protobuf.MapEntry
-            .<java.lang.String, java.lang.Integer>newDefaultInstance(
+            .<java.lang.String, org.celerygw.core.gen.peers.Waiting>newDefaultInstance(
                 org.celerygw.core.gen.peers.Peers.internal_static_celerygw_peers_Digest_WaitingEntry_descriptor, 
                 com.google.protobuf.WireFormat.FieldType.STRING,
                 "",
-                com.google.protobuf.WireFormat.FieldType.INT32,
-                0);
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.celerygw.core.gen.peers.Waiting.getDefaultInstance());
   }
   @SuppressWarnings("serial")
   private com.google.protobuf.MapField<
-      java.lang.String, java.lang.Integer> waiting_;
-  private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+      java.lang.String, org.celerygw.core.gen.peers.Waiting> waiting_;
+  private com.google.protobuf.MapField<java.lang.String, org.celerygw.core.gen.peers.Waiting>
   internalGetWaiting() {
     if (waiting_ == null) {
       return com.google.protobuf.MapField.emptyMapField(
@@ -269,7 +270,7 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   @java.lang.Override
   public boolean containsWaiting(
@@ -282,7 +283,7 @@
    */
   @java.lang.Override
   @java.lang.Deprecated
-  public java.util.Map<java.lang.String, java.lang.Integer> getWaiting() {
+  public java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> getWaiting() {
     return getWaitingMap();
   }
   /**
@@ -290,10 +291,10 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   @java.lang.Override
-  public java.util.Map<java.lang.String, java.lang.Integer> getWaitingMap() {
+  public java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> getWaitingMap() {
     return internalGetWaiting().getMap();
   }
   /**
@@ -301,14 +302,16 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   @java.lang.Override
-  public int getWaitingOrDefault(
+  public /* nullable */
+org.celerygw.core.gen.peers.Waiting getWaitingOrDefault(
       java.lang.String key,
-      int defaultValue) {
+      /* nullable */
+org.celerygw.core.gen.peers.Waiting defaultValue) {
     if (key == null) { throw new NullPointerException("map key"); }
-    java.util.Map<java.lang.String, java.lang.Integer> map =
+    java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> map =
         internalGetWaiting().getMap();
     return map.containsKey(key) ? map.get(key) : defaultValue;
   }
@@ -317,13 +320,13 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   @java.lang.Override
-  public int getWaitingOrThrow(
+  public org.celerygw.core.gen.peers.Waiting getWaitingOrThrow(
       java.lang.String key) {
     if (key == null) { throw new NullPointerException("map key"); }
-    java.util.Map<java.lang.String, java.lang.Integer> map =
+    java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> map =
         internalGetWaiting().getMap();
     if (!map.containsKey(key)) {
       throw new java.lang.IllegalArgumentException();
@@ -331,6 +334,48 @@
     return map.get(key);
   }
 
+  public static final int STARTED_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList started_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @return A list containing the started.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getStartedList() {
+    return started_;
+  }
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @return The count of started.
+   */
+  public int getStartedCount() {
+    return started_.size();
+  }
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @param index The index of the element to return.
+   * @return The started at the given index.
+   */
+  public int getStarted(int index) {
+    return started_.getInt(index);
+  }
+  private int startedMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -345,6 +390,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, host_);
     }
@@ -372,6 +418,13 @@
         internalGetWaiting(),
         WaitingDefaultEntryHolder.defaultEntry,
         8);
+    if (getStartedList().size() > 0) {
+      output.writeUInt32NoTag(74);
+      output.writeUInt32NoTag(startedMemoizedSerializedSize);
+    }
+    for (int i = 0; i < started_.size(); i++) {
+      output.writeFixed32NoTag(started_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -412,9 +465,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, zone_);
     }
-    for (java.util.Map.Entry<java.lang.String, java.lang.Integer> entry
+    for (java.util.Map.Entry<java.lang.String, org.celerygw.core.gen.peers.Waiting> entry
          : internalGetWaiting().getMap().entrySet()) {
-      com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+      com.google.protobuf.MapEntry<java.lang.String, org.celerygw.core.gen.peers.Waiting>
       waiting__ = WaitingDefaultEntryHolder.defaultEntry.newBuilderForType()
           .setKey(entry.getKey())
           .setValue(entry.getValue())
@@ -422,6 +475,17 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, waiting__);
     }
+    {
+      int dataSize = 0;
+      dataSize = 4 * getStartedList().size();
+      size += dataSize;
+      if (!getStartedList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      startedMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -453,6 +517,8 @@
         .equals(other.getZone())) return false;
     if (!internalGetWaiting().equals(
         other.internalGetWaiting())) return false;
+    if (!getStartedList()
+        .equals(other.getStartedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -487,6 +553,10 @@
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + internalGetWaiting().hashCode();
     }
+    if (getStartedCount() > 0) {
+      hash = (37 * hash) + STARTED_FIELD_NUMBER;
+      hash = (53 * hash) + getStartedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -654,6 +724,7 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       zone_ = "";
       internalGetMutableWaiting().clear();
+      started_ = emptyIntList();
       return this;
     }
 
@@ -719,8 +790,11 @@
         result.zone_ = zone_;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.waiting_ = internalGetWaiting();
-        result.waiting_.makeImmutable();
+        result.waiting_ = internalGetWaiting().build(WaitingDefaultEntryHolder.defaultEntry);
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        started_.makeImmutable();
+        result.started_ = started_;
       }
     }
 
@@ -787,6 +861,17 @@
       internalGetMutableWaiting().mergeFrom(
           other.internalGetWaiting());
       bitField0_ |= 0x00000080;
+      if (!other.started_.isEmpty()) {
+        if (started_.isEmpty()) {
+          started_ = other.started_;
+          started_.makeImmutable();
+          bitField0_ |= 0x00000100;
+        } else {
+          ensureStartedIsMutable();
+          started_.addAll(other.started_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -857,14 +942,31 @@
               break;
             } // case 58
             case 66: {
-              com.google.protobuf.MapEntry<java.lang.String, java.lang.Integer>
+              com.google.protobuf.MapEntry<java.lang.String, org.celerygw.core.gen.peers.Waiting>
               waiting__ = input.readMessage(
                   WaitingDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
-              internalGetMutableWaiting().getMutableMap().put(
+              internalGetMutableWaiting().ensureBuilderMap().put(
                   waiting__.getKey(), waiting__.getValue());
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 77: {
+              int v = input.readFixed32();
+              ensureStartedIsMutable();
+              started_.addInt(v);
+              break;
+            } // case 77
+            case 74: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureStartedIsMutable(alloc / 4);
+              while (input.getBytesUntilLimit() > 0) {
+                started_.addInt(input.readFixed32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1426,51 +1528,60 @@
       return this;
     }
 
-    private com.google.protobuf.MapField<
-        java.lang.String, java.lang.Integer> waiting_;
-    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+    private static final class WaitingConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder, org.celerygw.core.gen.peers.Waiting> {
+      @java.lang.Override
+      public org.celerygw.core.gen.peers.Waiting build(org.celerygw.core.gen.peers.WaitingOrBuilder val) {
+        if (val instanceof org.celerygw.core.gen.peers.Waiting) { return (org.celerygw.core.gen.peers.Waiting) val; }
+        return ((org.celerygw.core.gen.peers.Waiting.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.String, org.celerygw.core.gen.peers.Waiting> defaultEntry() {
+        return WaitingDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final WaitingConverter waitingConverter = new WaitingConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder, org.celerygw.core.gen.peers.Waiting, org.celerygw.core.gen.peers.Waiting.Builder> waiting_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder, org.celerygw.core.gen.peers.Waiting, org.celerygw.core.gen.peers.Waiting.Builder>
         internalGetWaiting() {
       if (waiting_ == null) {
-        return com.google.protobuf.MapField.emptyMapField(
-            WaitingDefaultEntryHolder.defaultEntry);
+        return new com.google.protobuf.MapFieldBuilder<>(waitingConverter);
       }
       return waiting_;
     }
-    private com.google.protobuf.MapField<java.lang.String, java.lang.Integer>
+    private com.google.protobuf.MapFieldBuilder<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder, org.celerygw.core.gen.peers.Waiting, org.celerygw.core.gen.peers.Waiting.Builder>
         internalGetMutableWaiting() {
       if (waiting_ == null) {
-        waiting_ = com.google.protobuf.MapField.newMapField(
-            WaitingDefaultEntryHolder.defaultEntry);
-      }
-      if (!waiting_.isMutable()) {
-        waiting_ = waiting_.copy();
+        waiting_ = new com.google.protobuf.MapFieldBuilder<>(waitingConverter);
       }
       bitField0_ |= 0x00000080;
       onChanged();
       return waiting_;
     }
     public int getWaitingCount() {
-      return internalGetWaiting().getMap().size();
+      return internalGetWaiting().ensureBuilderMap().size();
     }
     /**
      * <pre>
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     @java.lang.Override
     public boolean containsWaiting(
         java.lang.String key) {
       if (key == null) { throw new NullPointerException("map key"); }
-      return internalGetWaiting().getMap().containsKey(key);
+      return internalGetWaiting().ensureBuilderMap().containsKey(key);
     }
     /**
      * Use {@link #getWaitingMap()} instead.
      */
     @java.lang.Override
     @java.lang.Deprecated
-    public java.util.Map<java.lang.String, java.lang.Integer> getWaiting() {
+    public java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> getWaiting() {
       return getWaitingMap();
     }
     /**
@@ -1478,50 +1589,49 @@
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     @java.lang.Override
-    public java.util.Map<java.lang.String, java.lang.Integer> getWaitingMap() {
-      return internalGetWaiting().getMap();
+    public java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> getWaitingMap() {
+      return internalGetWaiting().getImmutableMap();
     }
     /**
      * <pre>
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     @java.lang.Override
-    public int getWaitingOrDefault(
+    public /* nullable */
+org.celerygw.core.gen.peers.Waiting getWaitingOrDefault(
         java.lang.String key,
-        int defaultValue) {
+        /* nullable */
+org.celerygw.core.gen.peers.Waiting defaultValue) {
       if (key == null) { throw new NullPointerException("map key"); }
-      java.util.Map<java.lang.String, java.lang.Integer> map =
-          internalGetWaiting().getMap();
-      return map.containsKey(key) ? map.get(key) : defaultValue;
+      java.util.Map<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder> map = internalGetMutableWaiting().ensureBuilderMap();
+      return map.containsKey(key) ? waitingConverter.build(map.get(key)) : defaultValue;
     }
     /**
      * <pre>
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     @java.lang.Override
-    public int getWaitingOrThrow(
+    public org.celerygw.core.gen.peers.Waiting getWaitingOrThrow(
         java.lang.String key) {
       if (key == null) { throw new NullPointerException("map key"); }
-      java.util.Map<java.lang.String, java.lang.Integer> map =
-          internalGetWaiting().getMap();
+      java.util.Map<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder> map = internalGetMutableWaiting().ensureBuilderMap();
       if (!map.containsKey(key)) {
         throw new java.lang.IllegalArgumentException();
       }
-      return map.get(key);
+      return waitingConverter.build(map.get(key));
     }
     public Builder clearWaiting() {
       bitField0_ = (bitField0_ & ~0x00000080);
-      internalGetMutableWaiting().getMutableMap()
-          .clear();
+      internalGetMutableWaiting().clear();
       return this;
     }
     /**
@@ -1529,12 +1639,12 @@
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     public Builder removeWaiting(
         java.lang.String key) {
       if (key == null) { throw new NullPointerException("map key"); }
-      internalGetMutableWaiting().getMutableMap()
+      internalGetMutableWaiting().ensureBuilderMap()
           .remove(key);
       return this;
     }
@@ -1542,24 +1652,24 @@
      * Use alternate mutation accessors instead.
      */
     @java.lang.Deprecated
-    public java.util.Map<java.lang.String, java.lang.Integer>
+    public java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting>
         getMutableWaiting() {
       bitField0_ |= 0x00000080;
-      return internalGetMutableWaiting().getMutableMap();
+      return internalGetMutableWaiting().ensureMessageMap();
     }
     /**
      * <pre>
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     public Builder putWaiting(
         java.lang.String key,
-        int value) {
+        org.celerygw.core.gen.peers.Waiting value) {
       if (key == null) { throw new NullPointerException("map key"); }
-
-      internalGetMutableWaiting().getMutableMap()
+      if (value == null) { throw new NullPointerException("map value"); }
+      internalGetMutableWaiting().ensureBuilderMap()
           .put(key, value);
       bitField0_ |= 0x00000080;
       return this;
@@ -1569,15 +1679,159 @@
      * by service: requests that wait at this host until an engine has room
      * </pre>
      *
-     * <code>map&lt;string, int32&gt; waiting = 8;</code>
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
      */
     public Builder putAllWaiting(
-        java.util.Map<java.lang.String, java.lang.Integer> values) {
-      internalGetMutableWaiting().getMutableMap()
+        java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting> values) {
+      for (java.util.Map.Entry<java.lang.String, org.celerygw.core.gen.peers.Waiting> e : values.entrySet()) {
+        if (e.getKey() == null || e.getValue() == null) {
+          throw new NullPointerException();
+        }
+      }
+      internalGetMutableWaiting().ensureBuilderMap()
           .putAll(values);
       bitField0_ |= 0x00000080;
       return this;
     }
+    /**
+     * <pre>
+     * by service: requests that wait at this host until an engine has room
+     * </pre>
+     *
+     * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
+     */
+    public org.celerygw.core.gen.peers.Waiting.Builder putWaitingBuilderIfAbsent(
+        java.lang.String key) {
+      java.util.Map<java.lang.String, org.celerygw.core.gen.peers.WaitingOrBuilder> builderMap = internalGetMutableWaiting().ensureBuilderMap();
+      org.celerygw.core.gen.peers.WaitingOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.celerygw.core.gen.peers.Waiting.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.celerygw.core.gen.peers.Waiting) {
+        entry = ((org.celerygw.core.gen.peers.Waiting) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.celerygw.core.gen.peers.Waiting.Builder) entry;
+    }
+
+    private com.google.protobuf.Internal.IntList started_ = emptyIntList();
+    private void ensureStartedIsMutable() {
+      if (!started_.isModifiable()) {
+        started_ = makeMutableCopy(started_);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    private void ensureStartedIsMutable(int capacity) {
+      if (!started_.isModifiable()) {
+        started_ = makeMutableCopy(started_, capacity);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @return A list containing the started.
+     */
+    public java.util.List<java.lang.Integer>
+        getStartedList() {
+      started_.makeImmutable();
+      return started_;
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @return The count of started.
+     */
+    public int getStartedCount() {
+      return started_.size();
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @param index The index of the element to return.
+     * @return The started at the given index.
+     */
+    public int getStarted(int index) {
+      return started_.getInt(index);
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The started to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStarted(
+        int index, int value) {
+
+      ensureStartedIsMutable();
+      started_.setInt(index, value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @param value The started to add.
+     * @return This builder for chaining.
+     */
+    public Builder addStarted(int value) {
+
+      ensureStartedIsMutable();
+      started_.addInt(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @param values The started to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllStarted(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureStartedIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, started_);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * hashes of the ids of programs that this host started within the last second
+     * </pre>
+     *
+     * <code>repeated fixed32 started = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStarted() {
+      started_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
 
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -99,7 +99,7 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   int getWaitingCount();
   /**
@@ -107,7 +107,7 @@
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
   boolean containsWaiting(
       java.lang.String key);
@@ -115,34 +115,65 @@
    * Use {@link #getWaitingMap()} instead.
    */
   @java.lang.Deprecated
-  java.util.Map<java.lang.String, java.lang.Integer>
+  java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting>
   getWaiting();
   /**
    * <pre>
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
-  java.util.Map<java.lang.String, java.lang.Integer>
+  java.util.Map<java.lang.String, org.celerygw.core.gen.peers.Waiting>
   getWaitingMap();
   /**
    * <pre>
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
-  int getWaitingOrDefault(
+  /* nullable */
+org.celerygw.core.gen.peers.Waiting getWaitingOrDefault(
       java.lang.String key,
-      int defaultValue);
+      /* nullable */
+org.celerygw.core.gen.peers.Waiting defaultValue);
   /**
    * <pre>
    * by service: requests that wait at this host until an engine has room
    * </pre>
    *
-   * <code>map&lt;string, int32&gt; waiting = 8;</code>
+   * <code>map&lt;string, .celerygw.peers.Waiting&gt; waiting = 8;</code>
    */
-  int getWaitingOrThrow(
+  org.celerygw.core.gen.peers.Waiting getWaitingOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @return A list containing the started.
+   */
+  java.util.List<java.lang.Integer> getStartedList();
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @return The count of started.
+   */
+  int getStartedCount();
+  /**
+   * <pre>
+   * hashes of the ids of programs that this host started within the last second
+   * </pre>
+   *
+   * <code>repeated fixed32 started = 9;</code>
+   * @param index The index of the element to return.
+   * @return The started at the given index.
+   */
+  int getStarted(int index);
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_Waiting_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_Waiting_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peers_ServerLoad_descriptor;
   static final 
@@ -66,26 +71,29 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013peers.proto\022\016celerygw.peers\032\013store.pro" +
-      "to\"\207\002\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
+      "to\"\261\002\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
       "rsion\030\002 \001(\003\022\025\n\rstore_answers\030\003 \001(\010\022\020\n\010st" +
       "ore_ms\030\004 \001(\005\022\017\n\007leaving\030\005 \001(\010\022)\n\005loads\030\006" +
       " \003(\0132\032.celerygw.peers.ServerLoad\022\014\n\004zone" +
       "\030\007 \001(\t\0224\n\007waiting\030\010 \003(\0132#.celerygw.peers" +
-      ".Digest.WaitingEntry\032.\n\014WaitingEntry\022\013\n\003" +
-      "key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"A\n\nServerLo" +
-      "ad\022\016\n\006server\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n" +
-      "\010doubtful\030\003 \001(\010\"\301\001\n\013RelayedCall\022\021\n\tparti" +
-      "tion\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.sto" +
-      "re.WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celery" +
-      "gw.store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.c" +
-      "elerygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(" +
-      "\tH\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030" +
-      "\001 \001(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004r" +
-      "ows\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(" +
-      "\n\004feed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000" +
-      "B\007\n\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&" +
-      "\n\004rows\030\002 \003(\0132\030.celerygw.store.TableRowB\037" +
-      "\n\033org.celerygw.core.gen.peersP\001b\006proto3"
+      ".Digest.WaitingEntry\022\017\n\007started\030\t \003(\007\032G\n" +
+      "\014WaitingEntry\022\013\n\003key\030\001 \001(\t\022&\n\005value\030\002 \001(" +
+      "\0132\027.celerygw.peers.Waiting:\0028\001\",\n\007Waitin" +
+      "g\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 \001(\005\"A\n\n" +
+      "ServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin_flight\030" +
+      "\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\"\301\001\n\013RelayedCall\022" +
+      "\021\n\tpartition\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.cele" +
+      "rygw.store.WriteRequestH\000\022+\n\004read\030\003 \001(\0132" +
+      "\033.celerygw.store.ReadRequestH\000\022+\n\004scan\030\004" +
+      " \001(\0132\033.celerygw.store.ScanRequestH\000\022\016\n\004f" +
+      "eed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007" +
+      "written\030\001 \001(\0132\032.celerygw.store.WriteRepl" +
+      "yH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw.store.RowsR" +
+      "eplyH\000\022(\n\004feed\030\003 \001(\0132\030.celerygw.peers.Fe" +
+      "edRowsH\000B\007\n\005reply\"C\n\010FeedRows\022\017\n\007version" +
+      "\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celerygw.store.Ta" +
+      "bleRowB\037\n\033org.celerygw.core.gen.peersP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -97,33 +105,39 @@
     internal_static_celerygw_peers_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_descriptor,
-        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", });
+        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", });
     internal_static_celerygw_peers_Digest_WaitingEntry_descriptor =
       internal_static_celerygw_peers_Digest_descriptor.getNestedType(0);
     internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_WaitingEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
-    internal_static_celerygw_peers_ServerLoad_descriptor =
+    internal_static_celerygw_peers_Waiting_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_celerygw_peers_Waiting_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_Waiting_descriptor,
+        new java.lang.String[] { "UnderWay", "Others", });
+    internal_static_celerygw_peers_ServerLoad_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_celerygw_peers_ServerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_ServerLoad_descriptor,
         new java.lang.String[] { "Server", "InFlight", "Doubtful", });
     internal_static_celerygw_peers_RelayedCall_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_celerygw_peers_RelayedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedCall_descriptor,
         new java.lang.String[] { "Partition", "Write", "Read", "Scan", "Feed", "Call", });
     internal_static_celerygw_peers_RelayedReply_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_celerygw_peers_RelayedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedReply_descriptor,
         new java.lang.String[] { "Written", "Rows", "Feed", "Reply", });
     internal_static_celerygw_peers_FeedRows_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_celerygw_peers_FeedRows_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_FeedRows_descriptor,
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -12,8 +12,9 @@
 
 /**
  * Estimates the requests that the whole fleet has in flight at each backend server, from the peers' digests. Each host
- * sends its digest to a few others in turn, so the cost per host does not grow with the fleet. In a large fleet, the
- * recent digests come from a sample of the hosts, and the sum over the sample is scaled to all live hosts.
+ * sends each change to the hosts of its group, and its digest to a few others in turn, so the cost per host does not grow
+ * with the fleet. In a large fleet, the recent digests of other groups come from a sample of their hosts, and the sum
+ * over the sample is scaled to all of them that are live.
  *
  * <pre>{@code
  * new FleetLoadEstimator(6, 400).updateServers(digests, servers, nowMs);
@@ -28,7 +29,7 @@
 
     private final int fanout;
     private final long intervalMs;
-    private double scale = 1;
+    private double sampleScale = 1;
 
     /**
      * Creates an estimator.
@@ -71,18 +72,17 @@
         List<ReceivedDigest> recent = digests.stream()
                 .filter(received -> nowMs - received.receivedAtMs() < MAX_DIGEST_AGE_MS)
                 .toList();
-        scale = recent.isEmpty() ? 1 : countLiveHosts(digests, nowMs) / (double) recent.size();
-        Map<String, Integer> inFlightByServer = new HashMap<>();
+        long sampled = recent.stream().filter(received -> !received.sameGroup()).count();
+        sampleScale = sampled == 0 ? 1 : countLiveOtherHosts(digests, nowMs) / (double) sampled;
+        Map<String, Double> inFlightByServer = new HashMap<>();
         Map<String, Integer> failureReportsByServer = new HashMap<>();
-        recent.stream()
-                .flatMap(received -> received.digest().getLoadsList().stream())
-                .forEach(load -> {
-                    inFlightByServer.merge(load.getServer(), load.getInFlight(), Integer::sum);
-                    failureReportsByServer.merge(load.getServer(), load.getDoubtful() ? 1 : 0, Integer::sum);
-                });
+        recent.forEach(received -> received.digest().getLoadsList().forEach(load -> {
+            inFlightByServer.merge(load.getServer(), scale(received.sameGroup()) * load.getInFlight(), Double::sum);
+            failureReportsByServer.merge(load.getServer(), load.getDoubtful() ? 1 : 0, Integer::sum);
+        }));
         for (TrackedServer server : servers.all()) {
             String serverId = server.entry().id();
-            server.setPeersInFlight(scale * inFlightByServer.getOrDefault(serverId, 0));
+            server.setPeersInFlight(inFlightByServer.getOrDefault(serverId, 0.0));
             server.setPeersReportFailures(failureReportsByServer.getOrDefault(serverId, 0) >= MIN_FAILURE_REPORTS);
         }
     }
@@ -93,15 +93,22 @@
      *
      * @param previous the peer's digest before; null if there was none or if it had expired
      * @param current the peer's digest now
+     * @param sameGroup whether the peer belongs to this host's group
      * @param servers the servers to update
      */
-    public void applyChange(@Nullable Digest previous, Digest current, ServerList servers) {
+    public void applyChange(@Nullable Digest previous, Digest current, boolean sameGroup, ServerList servers) {
+        double scale = scale(sameGroup);
         if (previous != null) {
             previous.getLoadsList().forEach(load -> addPeersInFlight(servers, load, -scale));
         }
         current.getLoadsList().forEach(load -> addPeersInFlight(servers, load, scale));
     }
 
+    /** Returns for how many hosts the digest of one stands. */
+    private double scale(boolean sameGroup) {
+        return sameGroup ? 1 : sampleScale;
+    }
+
     private static void addPeersInFlight(ServerList servers, ServerLoad load, double factor) {
         TrackedServer server = servers.byId(load.getServer());
         if (server != null) {
@@ -110,14 +117,14 @@
     }
 
     /**
-     * Counts the hosts that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers; the others
+     * Counts the hosts of other groups that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers; the others
      * are considered down.
      */
-    private long countLiveHosts(Collection<ReceivedDigest> digests, long nowMs) {
+    private long countLiveOtherHosts(Collection<ReceivedDigest> digests, long nowMs) {
         long roundMs = (digests.size() + fanout - 1) / fanout * intervalMs;
         long windowMs = Math.max(MAX_DIGEST_AGE_MS, LIVENESS_ROUNDS * roundMs);
         return digests.stream()
-                .filter(received -> nowMs - received.receivedAtMs() < windowMs)
+                .filter(received -> !received.sameGroup() && nowMs - received.receivedAtMs() < windowMs)
                 .count();
     }
 }
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -1,6 +1,7 @@
 package org.celerygw.core.servers;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -68,9 +69,9 @@
         }
         TrackedServer added = new TrackedServer(server);
         byId.put(server.id(), added);
-        byService
-                .computeIfAbsent(server.service(), service -> new ArrayList<>())
-                .add(added);
+        List<TrackedServer> sameService = byService.computeIfAbsent(server.service(), service -> new ArrayList<>());
+        sameService.add(added);
+        sameService.sort(Comparator.comparing(s -> s.entry().id()));
     }
 
     /**
@@ -122,7 +123,7 @@
      * Returns the servers of a service, usable or not.
      *
      * @param service the service's name
-     * @return the servers, in the order in which they were added
+     * @return the servers, ordered by id
      */
     public List<TrackedServer> byService(String service) {
         return byService.getOrDefault(service, List.of());
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -6,12 +6,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * Selects the backend server for a request. For engines, requests with the same affinity key go to the same engine by
- * rendezvous hashing (highest random weight) with bounded load, preferably in the host's availability zone. Prompts
- * cached on an engine are reused that way without coordination between hosts. For other services, the least loaded
- * server is selected, preferably in the host's zone.
+ * rendezvous hashing (highest random weight) with bounded load, preferably to the subset of the engines in the host's
+ * availability zone that its group of hosts uses. Prompts cached on an engine are reused that way without coordination
+ * between hosts. For other services, the least loaded server is selected, preferably in the host's zone.
  */
 public final class ServerSelector {
     /** The load limit of an engine is this factor times the mean load, plus {@link #LOAD_ALLOWANCE_REQUESTS}. */
@@ -19,7 +22,16 @@
 
     private static final int LOAD_ALLOWANCE_REQUESTS = 3;
 
+    private static final int REQUESTS_AHEAD_OF_SLOTS = 1;
+
+    /** Other groups' engines are used up to this share of their slots, since their load is known less exactly. */
+    private static final double OTHER_GROUPS_MAX_SHARE = 0.5;
+
+    private static final int BORROW_CHOICES = 2;
+
     private final String zone;
+    private int groupIndex;
+    private int groupCount = 1;
 
     /**
      * Creates a selector for a host.
@@ -31,15 +43,26 @@
     }
 
     /**
-     * Selects an engine. The engine that ran the previous turn may have up to twice the load limit of the others, since
-     * it has the program's prompt cached.
+     * Sets the group of hosts that this host belongs to. The engines of the zone are divided among its groups.
+     *
+     * @param index the group's index, from 0
+     * @param count the number of groups in the host's zone
+     */
+    public void setGroup(int index, int count) {
+        groupIndex = index;
+        groupCount = count;
+    }
+
+    /**
+     * Selects an engine that has room. The engine that ran the previous turn may have up to twice the load limit of the
+     * others, since it has the program's prompt cached.
      *
      * @param servers the service's servers
      * @param affinityKey the key of requests that should go to the same engine, for example the program's id
      * @param previousServer the id of the server that ran the previous turn; empty if unknown
      * @param excludedIds ids of servers that must not be selected
      * @param nowMs the current time, in ms
-     * @return the engine; empty if none is usable
+     * @return the engine; empty if none is usable or all are full
      */
     public Optional<TrackedServer> selectEngine(
             List<TrackedServer> servers,
@@ -55,16 +78,72 @@
         double loadLimit = meanLoad * MAX_LOAD_FACTOR + LOAD_ALLOWANCE_REQUESTS;
         Optional<TrackedServer> previous = candidates.stream()
                 .filter(server -> server.entry().id().equals(previousServer))
-                .filter(server -> server.load() < 2 * loadLimit && hasFreeSlot(server))
+                .filter(server -> server.load() < 2 * loadLimit && room(server) > 0)
                 .findFirst();
         if (previous.isPresent()) {
             return previous;
         }
-        Optional<TrackedServer> preferred = candidates.stream()
-                .filter(server -> server.load() < loadLimit && hasFreeSlot(server))
-                .max(Comparator.<TrackedServer>comparingInt(server -> isInLocalZone(server) ? 1 : 0)
-                        .thenComparing(server -> rendezvousWeight(server, affinityKey)));
-        return preferred.or(() -> leastLoaded(candidates));
+        Set<TrackedServer> subset = subset(servers);
+        Comparator<TrackedServer> byWeight = Comparator.comparing(server -> rendezvousWeight(server, affinityKey));
+        // Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error.
+        Stream<TrackedServer> borrowed = candidates.stream()
+                .filter(server -> !subset.contains(server))
+                .sorted(byWeight.reversed())
+                .limit(groupCount == 1 ? candidates.size() : BORROW_CHOICES)
+                .filter(this::mayBorrow);
+        List<TrackedServer> withRoom = Stream.concat(candidates.stream().filter(subset::contains), borrowed)
+                .filter(server -> room(server) > 0)
+                .toList();
+        Optional<TrackedServer> preferred = withRoom.stream()
+                .filter(server -> server.load() < loadLimit)
+                .max(Comparator.<TrackedServer>comparingInt(
+                                server -> subset.contains(server) ? 2 : isInLocalZone(server) ? 1 : 0)
+                        .thenComparing(byWeight));
+        return preferred.or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
+    }
+
+    /** Returns the engines in the host's zone that its group uses: all of them if the zone has one group of hosts. */
+    private Set<TrackedServer> subset(List<TrackedServer> servers) {
+        List<TrackedServer> local = servers.stream().filter(this::isInLocalZone).toList();
+        int parts = Math.min(groupCount, local.size());
+        return IntStream.range(0, local.size())
+                .filter(i -> i * parts / local.size() == groupIndex * parts / groupCount)
+                .mapToObj(local::get)
+                .collect(Collectors.toSet());
+    }
+
+    private boolean mayBorrow(TrackedServer server) {
+        return groupCount == 1
+                || server.load() < OTHER_GROUPS_MAX_SHARE * server.entry().slots();
+    }
+
+    /**
+     * Returns whether any server can be selected, full or not.
+     *
+     * @param servers the service's servers
+     * @param excludedIds ids of servers that must not be selected
+     * @param nowMs the current time, in ms
+     * @return false if every server is draining, has left or is excluded
+     */
+    public boolean hasUsableServer(List<TrackedServer> servers, Set<String> excludedIds, long nowMs) {
+        return !candidates(servers, excludedIds, nowMs).isEmpty();
+    }
+
+    /**
+     * Returns how many requests the usable engines of a service can take in addition to those in flight. Counts the
+     * engines that this host's group uses if the zone has several groups.
+     *
+     * @param servers the service's servers
+     * @param nowMs the current time, in ms
+     * @return the sum over the engines; {@link Integer#MAX_VALUE} if one of them has no limit
+     */
+    public int freeRoom(List<TrackedServer> servers, long nowMs) {
+        Set<TrackedServer> subset = subset(servers);
+        long sum = candidates(servers, Set.of(), nowMs).stream()
+                .filter(server -> groupCount == 1 || subset.contains(server))
+                .mapToLong(server -> Math.max(0, room(server)))
+                .sum();
+        return (int) Math.min(Integer.MAX_VALUE, sum);
     }
 
     /**
@@ -104,12 +183,13 @@
         return notPaused.isEmpty() ? accepting : notPaused;
     }
 
-    private static Optional<TrackedServer> leastLoaded(List<TrackedServer> servers) {
-        return servers.stream().min(Comparator.comparingInt(TrackedServer::load));
-    }
-
-    private static boolean hasFreeSlot(TrackedServer server) {
-        return server.entry().slots() <= 0 || server.load() < server.entry().slots();
+    /**
+     * Returns how many more requests an engine can take: up to its slots, and a few more that fill a slot as soon as it
+     * becomes free, before any host hears of that.
+     */
+    private static int room(TrackedServer server) {
+        int slots = server.entry().slots();
+        return slots <= 0 ? Integer.MAX_VALUE : slots + REQUESTS_AHEAD_OF_SLOTS - server.load();
     }
 
     private boolean isInLocalZone(TrackedServer server) {
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -8,9 +8,13 @@
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.celerygw.core.routes.RouteTable;
+import org.celerygw.core.scheduling.EngineQueue;
+import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
@@ -45,7 +49,9 @@
     private static final String CONFIGURATION_FEED = "configurations";
     private static final String SERVER_FEED = "servers";
     private static final long CONFIG_POLL_INTERVAL_MS = 100;
-    private static final long SERVER_POLL_INTERVAL_MS = 200;
+    private static final long MIN_SERVER_POLL_INTERVAL_MS = 400;
+    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_000;
+    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 20;
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
@@ -59,7 +65,9 @@
     private final Clock clock = new MonotonicClock();
     private final Scheduler scheduler;
     private final ServerList servers;
+    private final ServerSelector serverSelector;
     private final OriginPools originPools;
+    private final EngineQueue engineQueue;
     private final Forwarder forwarder;
     private final Metrics metrics;
     private final Adapter adapter;
@@ -98,6 +106,7 @@
         this.adapter = factory.create(loop, clock);
         this.originPools = new OriginPools(loop, clock);
         this.servers = new ServerList(originPools::remove);
+        this.serverSelector = new ServerSelector(settings.zone());
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
@@ -105,13 +114,13 @@
                 new HealthTrackingFeed(adapter.configurationFeed(), health),
                 clock,
                 scheduler,
-                CONFIG_POLL_INTERVAL_MS,
+                () -> CONFIG_POLL_INTERVAL_MS,
                 new ConfigListener());
         this.serverWatch = new Watch(
                 new HealthTrackingFeed(adapter.serverFeed(), health),
                 clock,
                 scheduler,
-                SERVER_POLL_INTERVAL_MS,
+                this::serverPollIntervalMs,
                 new ServerListener());
         List<Table> partitions = adapter.partitions(settings.partitions()).stream()
                 .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
@@ -142,13 +151,18 @@
                 settings.maxRowBytes(),
                 PROGRAM_CACHE_BYTES);
         metrics.registerPeersAndPrograms(peers, programStore);
+        this.engineQueue =
+                new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
+                        .nextDouble());
+        metrics.registerQueue(engineQueue);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
                 adapter.dialect(),
                 () -> routes,
                 servers,
-                new ServerSelector(settings.zone()),
+                serverSelector,
+                engineQueue,
                 originPools,
                 programStore,
                 new RequestLog(registry),
@@ -250,6 +264,15 @@
         return servers.all().size();
     }
 
+    /**
+     * Returns the minimum time between two polls of the servers' entries. Each server writes its entry every second or so;
+     * the interval grows with the fleet, so that the polls of all hosts together do not grow with the product of both.
+     */
+    private long serverPollIntervalMs() {
+        long intervalMs = SERVER_POLL_INTERVAL_MS_PER_HOST * (1 + livePeers());
+        return Math.max(MIN_SERVER_POLL_INTERVAL_MS, Math.min(MAX_SERVER_POLL_INTERVAL_MS, intervalMs));
+    }
+
     private Future<Void> listen() {
         GatewaySettings.Address clientAddress = settings.clientAddress();
         GatewaySettings.Address readinessAddress = settings.readinessAddress();
@@ -350,11 +373,31 @@
             return Gateway.this.configVersion();
         }
 
+        @Override
+        public Map<String, QueueLength> waitingByService() {
+            return engineQueue.waitingByService();
+        }
+
+        @Override
+        public List<Integer> recentlyStarted() {
+            return engineQueue.recentlyStarted(clock.nowMs());
+        }
+
+        @Override
+        public void startedElsewhere(List<Integer> programHashes) {
+            engineQueue.startedElsewhere(programHashes);
+        }
+
         @Override
         public boolean leaving() {
             return stopping;
         }
 
+        @Override
+        public void onGroup(int index, int count) {
+            serverSelector.setGroup(index, count);
+        }
+
         @Override
         public void onNewerConfiguration() {
             configurationWatch.readFromPeer();
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -56,6 +57,16 @@
         registerGauge("celerygw_programs_remembered", "Programs in this host's cache", programStore::programsCached);
     }
 
+    /** Registers the metrics of the queue in front of the engines. */
+    void registerQueue(EngineQueue queue) {
+        registerGauge(
+                "celerygw_engine_queue_requests",
+                "Requests that wait until an engine has room",
+                () -> queue.waitingByService().values().stream()
+                        .mapToInt(length -> length.underWay() + length.others())
+                        .sum());
+    }
+
     /** Counts a completed call to the store and adds its duration to the histogram. */
     void recordStoreCall(String kind, String outcome, long durationMs) {
         storeCalls.labelValues(kind, outcome).inc();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -54,11 +54,13 @@
     private long lastReceivedMs;
     private long sentMs;
     private long serverMs;
+    private long queuedMs;
     private long serverFirstByteMs;
     private long firstByteMs;
     private int sendCount;
     private int possibleExecutions;
     private boolean ended;
+    private @Nullable EngineWait engineWait;
 
     Exchange(
             Forwarder forwarder,
@@ -116,6 +118,11 @@
         return serverMs;
     }
 
+    /** Returns how long the request has waited until an engine had room, in ms. */
+    long queuedMs() {
+        return queuedMs;
+    }
+
     /** Returns the time from a send to the first bytes of any response body, in ms; 0 while none has arrived. */
     long serverFirstByteMs() {
         return serverFirstByteMs;
@@ -146,15 +153,37 @@
 
     /** Sends the request to a backend server, or ends the exchange when no server or no time is left. */
     void send() {
-        if (ended || pendingRequest != null) {
+        if (ended || pendingRequest != null || engineWait != null) {
             return;
         }
-        Optional<TrackedServer> selected = remainingMs() > MIN_REMAINING_TO_SEND_MS ? selectServer() : Optional.empty();
-        if (selected.isEmpty() || sendCount >= MAX_SENDS) {
+        if (service == null || remainingMs() <= MIN_REMAINING_TO_SEND_MS || sendCount >= MAX_SENDS) {
             endWithoutServer();
-            return;
+        } else if (service.runsEngines()) {
+            engineWait = new EngineWait(this);
+            engineWait.begin(service.name(), turn.previousServerId(), triedServerIds);
+        } else {
+            selectServer(service).ifPresentOrElse(this::sendTo, this::endWithoutServer);
+        }
+    }
+
+    /** Called when an engine has room for this request. */
+    void onEngineSelected(TrackedServer server, long waitedMs) {
+        engineWait = null;
+        queuedMs += waitedMs;
+        sendTo(server);
+    }
+
+    /** Called when this request will not get an engine in time. */
+    void onEngineRefused(String reason, long retryAfterMs) {
+        engineWait = null;
+        if (possibleExecutions > 0) {
+            fail(502, reason);
+        } else {
+            refuse(new Forwarder.Refusal(503, reason, retryAfterMs));
         }
-        TrackedServer server = selected.get();
+    }
+
+    private void sendTo(TrackedServer server) {
         currentServer = server;
         sendCount++;
         possibleExecutions++;
@@ -251,23 +280,23 @@
 
     private void markEnded() {
         ended = true;
+        if (engineWait != null) {
+            engineWait.cancel();
+            engineWait = null;
+        }
         forwarder.exchangeEnded();
     }
 
-    private Optional<TrackedServer> selectServer() {
-        if (service == null) {
-            return Optional.empty();
-        }
-        var servers = forwarder.servers.byService(service.name());
-        long nowMs = forwarder.clock.nowMs();
-        return service.runsEngines()
-                ? forwarder.serverSelector.selectEngine(
-                        servers, affinityKey(), turn.previousServerId(), triedServerIds, nowMs)
-                : forwarder.serverSelector.selectServer(servers, triedServerIds, affinityKey(), nowMs);
+    private Optional<TrackedServer> selectServer(Service plainService) {
+        return forwarder.serverSelector.selectServer(
+                forwarder.servers.byService(plainService.name()),
+                triedServerIds,
+                affinityKey(),
+                forwarder.clock.nowMs());
     }
 
     /** Returns the key by which related requests go to the same server: an engine's program, or else the client's key. */
-    private String affinityKey() {
+    String affinityKey() {
         if (service != null && service.runsEngines() && !metadata.program().isEmpty()) {
             return metadata.program();
         }
@@ -471,6 +500,9 @@
                 server.recordSuccess(forwarder.clock.nowMs());
             }
             endSend(server, "whole");
+            if (service != null && service.runsEngines() && status < SERVER_ERROR) {
+                forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
+            }
             if (!ended) {
                 responseWriter.finish();
             }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -10,6 +10,7 @@
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
+import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
 import org.celerygw.core.servers.TrackedServer;
@@ -27,6 +28,7 @@
  */
 public final class Forwarder implements RequestHandler {
     private static final long NO_CONFIG_RETRY_AFTER_MS = 300;
+    private static final long QUEUE_POLL_INTERVAL_MS = 10;
 
     final Clock clock;
     final Scheduler scheduler;
@@ -36,10 +38,12 @@
     final OriginPools originPools;
     final ProgramStore programStore;
     final RequestLog requestLog;
+    final EngineQueue engineQueue;
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
     private int requestsInFlight;
+    private boolean pollScheduled;
 
     /**
      * Creates a forwarder without requests.
@@ -50,6 +54,7 @@
      * @param currentRoutes supplies the routes of the latest configuration; null before the first one is known
      * @param servers the backend servers
      * @param serverSelector selects a backend server for each send
+     * @param engineQueue decides which request to an engine starts, waits or is refused
      * @param originPools the connections to the backend servers
      * @param programStore reserves and settles token budgets and stores turns
      * @param requestLog logs and counts sends and ends of requests
@@ -62,6 +67,7 @@
             Supplier<@Nullable RouteTable> currentRoutes,
             ServerList servers,
             ServerSelector serverSelector,
+            EngineQueue engineQueue,
             OriginPools originPools,
             ProgramStore programStore,
             RequestLog requestLog,
@@ -72,6 +78,7 @@
         this.currentRoutes = currentRoutes;
         this.servers = servers;
         this.serverSelector = serverSelector;
+        this.engineQueue = engineQueue;
         this.originPools = originPools;
         this.programStore = programStore;
         this.requestLog = requestLog;
@@ -121,6 +128,27 @@
     void requestEnded(TrackedServer server, @Nullable Service service) {
         server.requestEnded();
         reportLoadChange(service);
+        // Not during this call: the exchange whose request has ended is not ready for another one yet.
+        scheduler.schedule(0, this::pollQueue);
+    }
+
+    /** Reports that requests have joined or left the queue. */
+    void queueChanged() {
+        onLoadChanged.run();
+        if (!pollScheduled && engineQueue.hasWaiting()) {
+            pollScheduled = true;
+            scheduler.schedule(QUEUE_POLL_INTERVAL_MS, () -> {
+                pollScheduled = false;
+                pollQueue();
+            });
+        }
+    }
+
+    private void pollQueue() {
+        if (engineQueue.hasWaiting()) {
+            engineQueue.poll(clock.nowMs());
+            queueChanged();
+        }
     }
 
     private void reportLoadChange(@Nullable Service service) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -25,6 +25,7 @@
     private final long budgetTokens;
     private Runnable onDeliveryAllowed = () -> {};
     private boolean deliveryAllowed;
+    private boolean reserved;
     private boolean settled;
     private @Nullable TurnChain chain;
 
@@ -116,12 +117,16 @@
                 metadata.maxTokens(),
                 budgetTokens,
                 Math.max(MIN_RETENTION_MS, exchange.route.retentionMs()));
-        // A request that is not yet sent is refused as soon as it can no longer be answered by its deadline.
-        exchange.forwarder.programStore.reserve(
-                reservation, sendsInParallel ? exchange.deadlineMs() : exchange.latestSendMs(), this::onReserved);
-        if (sendsInParallel && !deliveryAllowed) {
+        if (sendsInParallel) {
+            // Before the reservation, so that a request that is refused at once costs the store nothing.
             exchange.send();
         }
+        if (!exchange.ended()) {
+            reserved = true;
+            // A request that is not yet sent is refused as soon as it can no longer be answered by its deadline.
+            exchange.forwarder.programStore.reserve(
+                    reservation, sendsInParallel ? exchange.deadlineMs() : exchange.latestSendMs(), this::onReserved);
+        }
     }
 
     private void onReserved(UpdateResult result) {
@@ -198,7 +203,7 @@
 
     /** Settles the reservation with the tokens of the delivered events, unless already settled; does not store the turn. */
     void settle(int deliveredEvents) {
-        if (reservesTokens && !settled) {
+        if (reserved && !settled) {
             settled = true;
             exchange.forwarder.programStore.settle(
                     program,
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -48,7 +48,9 @@
                 .addKeyValue("configVersion", exchange.routes.version())
                 .addKeyValue("server", serverId)
                 .addKeyValue("serverLoad", serverLoad)
+                .addKeyValue("queuedMs", exchange.queuedMs())
                 .addKeyValue("leftMs", exchange.remainingMs())
+                .addKeyValue("programLeftMs", exchange.metadata.programTimeoutMs())
                 .log("route: sent to a server");
     }
 
@@ -84,6 +86,7 @@
                 .addKeyValue("route", exchange.route.name())
                 .addKeyValue("status", status)
                 .addKeyValue("tookMs", exchange.elapsedMs())
+                .addKeyValue("queuedMs", exchange.queuedMs())
                 .addKeyValue("serverMs", exchange.serverMs())
                 .addKeyValue("firstMs", exchange.firstByteMs())
                 .addKeyValue("serverFirstMs", exchange.serverFirstByteMs())
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
@@ -8,6 +8,8 @@
  * @param timeoutMs how long the client waits, in ms from the arrival of the request; negative when not specified
  * @param affinityKey the key by which related requests go to the same backend server; empty when not specified
  * @param program the id of the program that the request belongs to; empty for none
+ * @param programTimeoutMs the time until the program should be finished, in ms from the arrival of the request; 0 when
+ *     that time has passed, negative when not specified
  * @param previousTurn the id of the turn that the request continues; empty for none
  * @param budgetTokens the token budget for the output of all turns of the program; negative when not specified
  * @param maxTokens the maximum number of tokens that this request generates; 0 when not specified
@@ -19,6 +21,7 @@
         long timeoutMs,
         String affinityKey,
         String program,
+        long programTimeoutMs,
         String previousTurn,
         long budgetTokens,
         long maxTokens,
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -15,11 +15,15 @@
 import io.vertx.core.Promise;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.peers.DigestTargets;
 import org.celerygw.core.peers.FleetLoadEstimator;
+import org.celerygw.core.peers.HostGroup;
 import org.celerygw.core.peers.ReceivedDigest;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
@@ -47,8 +51,10 @@
     private final PeerTable peers;
     private final LocalDigest localDigest;
     private final FleetLoadEstimator fleetLoadEstimator = new FleetLoadEstimator(ROUND_SIZE, ROUND_INTERVAL_MS);
-    private final DigestTargets<Peer> targets =
-            new DigestTargets<>(ROUND_SIZE, p -> p.digest.getHost(), p -> p.digest.getZone());
+    private final DigestTargets targets = new DigestTargets(ROUND_SIZE);
+    private final BiConsumer<Integer, Integer> onGroup;
+    private final Consumer<List<Integer>> onStarted;
+    private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
     private boolean changePending;
 
@@ -65,7 +71,9 @@
             String zone,
             ServerList servers,
             PeerTable peers,
-            LocalDigest localDigest) {
+            LocalDigest localDigest,
+            BiConsumer<Integer, Integer> onGroup,
+            Consumer<List<Integer>> onStarted) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.host = host;
@@ -73,6 +81,8 @@
         this.servers = servers;
         this.peers = peers;
         this.localDigest = localDigest;
+        this.onGroup = onGroup;
+        this.onStarted = onStarted;
     }
 
     /** Starts to receive datagrams; fails when the address cannot be bound. */
@@ -95,12 +105,20 @@
         return promise.future();
     }
 
+    /** Returns the other live hosts of this host's group. */
+    Stream<Peer> group() {
+        return peers.live().filter(group.peers()::contains);
+    }
+
     /** Sends the digest to the next few peers and recomputes the fleet's load; called once per round. */
     void runRound() {
+        group = HostGroup.of(peers.live().toList(), host, zone, p -> p.digest.getHost(), p -> p.digest.getZone());
+        onGroup.accept(group.index(), group.count());
         send(targets.nextRound(peers.all()));
         List<ReceivedDigest> digests = peers.all().stream()
                 .filter(p -> !p.digest.getHost().isEmpty())
-                .map(p -> new ReceivedDigest(p.digest, p.lastSeenAtMs))
+                .map(p -> new ReceivedDigest(
+                        p.digest, p.lastSeenAtMs, group.peers().contains(p)))
                 .toList();
         fleetLoadEstimator.updateServers(digests, servers, clock.nowMs());
     }
@@ -111,7 +129,7 @@
             changePending = true;
             scheduler.schedule(CHANGE_DELAY_MS, () -> {
                 changePending = false;
-                send(targets.near(peers.live().toList(), host, zone));
+                send(group.peers());
             });
         }
     }
@@ -149,7 +167,9 @@
                         .log("peers: first digest from a host");
             }
             boolean counted = clock.nowMs() - peer.lastSeenAtMs < FleetLoadEstimator.MAX_DIGEST_AGE_MS;
-            fleetLoadEstimator.applyChange(counted ? peer.digest : null, digest, servers);
+            fleetLoadEstimator.applyChange(
+                    counted ? peer.digest : null, digest, group.peers().contains(peer), servers);
+            onStarted.accept(digest.getStartedList());
             peer.digest = digest;
             peer.lastSeenAtMs = clock.nowMs();
         } catch (InvalidProtocolBufferException e) {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -13,6 +14,8 @@
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.peers.WaitingCodec;
+import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
@@ -57,6 +60,27 @@
          */
         long configVersion();
 
+        /**
+         * Returns the programs that this host has started within the last second.
+         *
+         * @return hashes of their ids
+         */
+        List<Integer> recentlyStarted();
+
+        /**
+         * Called with the programs that another host has started.
+         *
+         * @param programHashes hashes of their ids
+         */
+        void startedElsewhere(List<Integer> programHashes);
+
+        /**
+         * Returns how many requests wait at this host until an engine has room.
+         *
+         * @return the numbers by service
+         */
+        Map<String, QueueLength> waitingByService();
+
         /**
          * Returns whether this host is stopping.
          *
@@ -64,6 +88,14 @@
          */
         boolean leaving();
 
+        /**
+         * Called once per round with the group of hosts that this host belongs to.
+         *
+         * @param index the group's index, from 0
+         * @param count the number of groups in this host's zone
+         */
+        void onGroup(int index, int count);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -109,7 +141,16 @@
         this.localState = localState;
         this.relay = new Relay(scheduler, direct, feeds);
         this.peers = new PeerTable(loop, clock, self);
-        this.digests = new DigestExchange(clock, scheduler, host, zone, servers, peers, this::localDigest);
+        this.digests = new DigestExchange(
+                clock,
+                scheduler,
+                host,
+                zone,
+                servers,
+                peers,
+                this::localDigest,
+                localState::onGroup,
+                localState::startedElsewhere);
         seeds.forEach(peers::add);
     }
 
@@ -123,7 +164,19 @@
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
                 .setStoreMs(health.smoothedLatencyMs())
-                .setLeaving(localState.leaving());
+                .setLeaving(localState.leaving())
+                .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
+                .addAllStarted(localState.recentlyStarted());
+    }
+
+    /**
+     * Returns how many requests wait at the other hosts of this host's group until an engine of a service has room.
+     *
+     * @param service the service's name
+     * @return the number of requests, as last reported
+     */
+    public QueueLength waitingAtPeers(String service) {
+        return WaitingCodec.sum(digests.group().map(p -> p.digest), service);
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
+++ b/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
@@ -4,6 +4,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
@@ -21,7 +22,7 @@
     private final RowFeed feed;
     private final Clock clock;
     private final Scheduler scheduler;
-    private final long pollIntervalMs;
+    private final LongSupplier pollIntervalMs;
     private final Listener listener;
     private final SortedMap<String, Row> rows = new TreeMap<>();
     private Consumer<Consumer<RowFeed.Result>> peerSource =
@@ -61,10 +62,10 @@
      * @param feed the feed to watch
      * @param clock the clock by which the poll interval is measured
      * @param scheduler runs the polls and retries
-     * @param pollIntervalMs the minimum time between the starts of two polls, in ms
+     * @param pollIntervalMs returns the minimum time between the starts of two polls, in ms
      * @param listener receives snapshots and changes
      */
-    public Watch(RowFeed feed, Clock clock, Scheduler scheduler, long pollIntervalMs, Listener listener) {
+    public Watch(RowFeed feed, Clock clock, Scheduler scheduler, LongSupplier pollIntervalMs, Listener listener) {
         this.feed = feed;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -184,6 +185,6 @@
     }
 
     private void scheduleNextPoll() {
-        scheduler.schedule(Math.max(1, requestedAtMs + pollIntervalMs - clock.nowMs()), this::poll);
+        scheduler.schedule(Math.max(1, requestedAtMs + pollIntervalMs.getAsLong() - clock.nowMs()), this::poll);
     }
 }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -15,6 +15,7 @@
                 Long.parseLong(headers.get("left-ms", "-1")),
                 "",
                 headers.get("program", ""),
+                Long.parseLong(headers.get("program-left-ms", "-1")),
                 headers.get("previous", ""),
                 Long.parseLong(headers.get("budget", "-1")),
                 Long.parseLong(headers.get("max", "0")),
