Let a group whose engines are leaving use all others

Cause (found by reading the change): a group of hosts in a large fleet considered two engines beyond its own subset, and only half empty ones. If its own were all draining or gone, as when a zone's engines are replaced, requests waited although other engines had room; a zone without engines had none but those two. Change: a group without usable engines of its own uses all candidates, for the choice and for the free room.

--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Counts the hosts of other groups that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers; the others
-     * are considered down.
+     * Counts the hosts of other groups that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers;
+     * the others are considered down.
      */
     private long countLiveOtherHosts(Collection<ReceivedDigest> digests, long nowMs) {
         long roundMs = (digests.size() + fanout - 1) / fanout * intervalMs;
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -83,7 +84,7 @@
         if (previous.isPresent()) {
             return previous;
         }
-        Set<TrackedServer> subset = subset(servers);
+        Set<TrackedServer> subset = subset(servers, candidates);
         Comparator<TrackedServer> byWeight = Comparator.comparing(server -> rendezvousWeight(server, affinityKey));
         // Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error.
         Stream<TrackedServer> borrowed = candidates.stream()
@@ -91,7 +92,7 @@
                 .sorted(byWeight.reversed())
                 .limit(groupCount == 1 ? candidates.size() : BORROW_CHOICES)
                 .filter(this::mayBorrow);
-        List<TrackedServer> withRoom = Stream.concat(candidates.stream().filter(subset::contains), borrowed)
+        List<TrackedServer> withRoom = Stream.concat(subset.stream(), borrowed)
                 .filter(server -> room(server) > 0)
                 .toList();
         Optional<TrackedServer> preferred = withRoom.stream()
@@ -102,14 +103,19 @@
         return preferred.or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
     }
 
-    /** Returns the engines in the host's zone that its group uses: all of them if the zone has one group of hosts. */
-    private Set<TrackedServer> subset(List<TrackedServer> servers) {
+    /**
+     * Returns the candidates in the host's zone that its group uses: all of the zone if it has one group of hosts. If
+     * there are none, because they are leaving or the zone has no engine, the group uses all candidates.
+     */
+    private Set<TrackedServer> subset(List<TrackedServer> servers, List<TrackedServer> candidates) {
         List<TrackedServer> local = servers.stream().filter(this::isInLocalZone).toList();
         int parts = Math.min(groupCount, local.size());
-        return IntStream.range(0, local.size())
+        Set<TrackedServer> subset = IntStream.range(0, local.size())
                 .filter(i -> i * parts / local.size() == groupIndex * parts / groupCount)
                 .mapToObj(local::get)
-                .collect(Collectors.toSet());
+                .filter(candidates::contains)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+        return subset.isEmpty() ? new LinkedHashSet<>(candidates) : subset;
     }
 
     private boolean mayBorrow(TrackedServer server) {
@@ -138,8 +144,9 @@
      * @return the sum over the engines; {@link Integer#MAX_VALUE} if one of them has no limit
      */
     public int freeRoom(List<TrackedServer> servers, long nowMs) {
-        Set<TrackedServer> subset = subset(servers);
-        long sum = candidates(servers, Set.of(), nowMs).stream()
+        List<TrackedServer> candidates = candidates(servers, Set.of(), nowMs);
+        Set<TrackedServer> subset = subset(servers, candidates);
+        long sum = candidates.stream()
                 .filter(server -> groupCount == 1 || subset.contains(server))
                 .mapToLong(server -> Math.max(0, room(server)))
                 .sum();
