Log and count changes of the request limits that servers name

A host's logs could not tell whether an engine's answer named a limit, so that they could not tell the hypotheses of docs/incidents/request-limit.md apart. The limit is read, logged on each change with the request and the status, and counted (celerygw_server_limit_changes_total). Nothing depends on it yet.

ForwarderTest and RowsTest pass.

--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -22,6 +22,7 @@
     private double failureRate;
     private long failureRateAtMs;
     private boolean peersReportFailures;
+    private double limitPerS = Double.POSITIVE_INFINITY;
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
@@ -191,6 +192,27 @@
         return nowMs < pausedUntilMs;
     }
 
+    /**
+     * Records what a response of the server says about its request limit.
+     *
+     * @param requestsPerS the requests per second that it accepts from all hosts together; infinite if it names no limit
+     * @return whether this differs from what it said before
+     */
+    public boolean recordLimit(double requestsPerS) {
+        boolean changed = limitPerS != requestsPerS;
+        limitPerS = requestsPerS;
+        return changed;
+    }
+
+    /**
+     * Returns the server's request limit.
+     *
+     * @return the requests per second that it accepts from all hosts together; infinite if it has named no limit
+     */
+    public double limitPerS() {
+        return limitPerS;
+    }
+
     void update(BackendServer newEntry) {
         entry = newEntry;
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -446,6 +446,7 @@
             ResponseMetadata response = forwarder.dialect.parseResponse(head);
             verdict = classify(response);
             status = response.status();
+            recordLimit(response);
             if (!ended && verdict == Verdict.PASS) {
                 responseWriter.onHead(head, response);
             }
@@ -488,6 +489,15 @@
             }
         }
 
+        /** Only a successful response without a limit says that there is none: a refusal may come from elsewhere. */
+        private void recordLimit(ResponseMetadata response) {
+            boolean namesLimit = response.limitPerS() < Double.POSITIVE_INFINITY;
+            boolean saysNone = !namesLimit && verdict == Verdict.PASS && response.isSuccessful();
+            if ((namesLimit || saysNone) && server.recordLimit(response.limitPerS())) {
+                forwarder.requestLog.logLimit(Exchange.this, server.entry().id(), response);
+            }
+        }
+
         private void onPassed() {
             if (!responseWriter.isComplete()) {
                 server.recordFailure(forwarder.clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -14,6 +14,7 @@
 
     private final Counter requestsEnded;
     private final Counter sends;
+    private final Counter limitChanges;
     private final Histogram requestSeconds;
 
     /**
@@ -32,6 +33,10 @@
                 .help("Requests sent to backend servers, by how that ended")
                 .labelNames("outcome")
                 .register(registry);
+        limitChanges = Counter.builder()
+                .name("celerygw_server_limit_changes_total")
+                .help("Responses in which a backend server named another request limit than before, or none any more")
+                .register(registry);
         requestSeconds = Histogram.builder()
                 .name("celerygw_request_seconds")
                 .help("Time from a request's head to the end of its answer")
@@ -65,6 +70,16 @@
         }
     }
 
+    void logLimit(Exchange exchange, String serverId, ResponseMetadata response) {
+        limitChanges.inc();
+        LOG.atWarn()
+                .addKeyValue("request", exchange.metadata.id())
+                .addKeyValue("server", serverId)
+                .addKeyValue("status", response.status())
+                .addKeyValue("limitPerS", response.limitPerS())
+                .log("servers: request limit named by a server has changed");
+    }
+
     void logRefusal(@Nullable RequestMetadata metadata, Forwarder.Refusal refusal) {
         requestsEnded.labelValues("refused", Integer.toString(refusal.status())).inc();
         LOG.atWarn()
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -47,7 +47,8 @@
                 head.status().code(),
                 head.headers().contains("not-run"),
                 head.headers().contains("signed"),
-                head.headers().contains("content-encoding"));
+                head.headers().contains("content-encoding"),
+                Double.parseDouble(head.headers().get("limit", "Infinity")));
     }
 
     @Override
