--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -64,6 +64,7 @@
             org.celerygw.core.gen.peers.Digest.class, org.celerygw.core.gen.peers.Digest.Builder.class);
   }
 
+  private int bitField0_;
   public static final int HOST_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object host_ = "";
@@ -376,6 +377,97 @@
   }
   private int startedMemoizedSerializedSize = -1;
 
+  public static final int GRANTS_PERMITS_FIELD_NUMBER = 10;
+  private boolean grantsPermits_ = false;
+  /**
+   * <pre>
+   * whether this host answers requests for permits
+   * </pre>
+   *
+   * <code>bool grants_permits = 10;</code>
+   * @return The grantsPermits.
+   */
+  @java.lang.Override
+  public boolean getGrantsPermits() {
+    return grantsPermits_;
+  }
+
+  public static final int PERMIT_REQUEST_FIELD_NUMBER = 11;
+  private org.celerygw.core.gen.peers.PermitRequest permitRequest_;
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   * @return Whether the permitRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasPermitRequest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   * @return The permitRequest.
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.PermitRequest getPermitRequest() {
+    return permitRequest_ == null ? org.celerygw.core.gen.peers.PermitRequest.getDefaultInstance() : permitRequest_;
+  }
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.PermitRequestOrBuilder getPermitRequestOrBuilder() {
+    return permitRequest_ == null ? org.celerygw.core.gen.peers.PermitRequest.getDefaultInstance() : permitRequest_;
+  }
+
+  public static final int PERMIT_REPLY_FIELD_NUMBER = 12;
+  private org.celerygw.core.gen.peers.PermitReply permitReply_;
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   * @return Whether the permitReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasPermitReply() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   * @return The permitReply.
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.PermitReply getPermitReply() {
+    return permitReply_ == null ? org.celerygw.core.gen.peers.PermitReply.getDefaultInstance() : permitReply_;
+  }
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.PermitReplyOrBuilder getPermitReplyOrBuilder() {
+    return permitReply_ == null ? org.celerygw.core.gen.peers.PermitReply.getDefaultInstance() : permitReply_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -425,6 +517,15 @@
     for (int i = 0; i < started_.size(); i++) {
       output.writeFixed32NoTag(started_.getInt(i));
     }
+    if (grantsPermits_ != false) {
+      output.writeBool(10, grantsPermits_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(11, getPermitRequest());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(12, getPermitReply());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -486,6 +587,18 @@
       }
       startedMemoizedSerializedSize = dataSize;
     }
+    if (grantsPermits_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, grantsPermits_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getPermitRequest());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getPermitReply());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -519,6 +632,18 @@
         other.internalGetWaiting())) return false;
     if (!getStartedList()
         .equals(other.getStartedList())) return false;
+    if (getGrantsPermits()
+        != other.getGrantsPermits()) return false;
+    if (hasPermitRequest() != other.hasPermitRequest()) return false;
+    if (hasPermitRequest()) {
+      if (!getPermitRequest()
+          .equals(other.getPermitRequest())) return false;
+    }
+    if (hasPermitReply() != other.hasPermitReply()) return false;
+    if (hasPermitReply()) {
+      if (!getPermitReply()
+          .equals(other.getPermitReply())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -557,6 +682,17 @@
       hash = (37 * hash) + STARTED_FIELD_NUMBER;
       hash = (53 * hash) + getStartedList().hashCode();
     }
+    hash = (37 * hash) + GRANTS_PERMITS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getGrantsPermits());
+    if (hasPermitRequest()) {
+      hash = (37 * hash) + PERMIT_REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getPermitRequest().hashCode();
+    }
+    if (hasPermitReply()) {
+      hash = (37 * hash) + PERMIT_REPLY_FIELD_NUMBER;
+      hash = (53 * hash) + getPermitReply().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -698,13 +834,21 @@
 
     // Construct using org.celerygw.core.gen.peers.Digest.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLoadsFieldBuilder();
+        internalGetPermitRequestFieldBuilder();
+        internalGetPermitReplyFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -725,6 +869,17 @@
       zone_ = "";
       internalGetMutableWaiting().clear();
       started_ = emptyIntList();
+      grantsPermits_ = false;
+      permitRequest_ = null;
+      if (permitRequestBuilder_ != null) {
+        permitRequestBuilder_.dispose();
+        permitRequestBuilder_ = null;
+      }
+      permitReply_ = null;
+      if (permitReplyBuilder_ != null) {
+        permitReplyBuilder_.dispose();
+        permitReplyBuilder_ = null;
+      }
       return this;
     }
 
@@ -796,6 +951,23 @@
         started_.makeImmutable();
         result.started_ = started_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.grantsPermits_ = grantsPermits_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.permitRequest_ = permitRequestBuilder_ == null
+            ? permitRequest_
+            : permitRequestBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.permitReply_ = permitReplyBuilder_ == null
+            ? permitReply_
+            : permitReplyBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -872,6 +1044,15 @@
         }
         onChanged();
       }
+      if (other.getGrantsPermits() != false) {
+        setGrantsPermits(other.getGrantsPermits());
+      }
+      if (other.hasPermitRequest()) {
+        mergePermitRequest(other.getPermitRequest());
+      }
+      if (other.hasPermitReply()) {
+        mergePermitReply(other.getPermitReply());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -967,6 +1148,25 @@
               input.popLimit(limit);
               break;
             } // case 74
+            case 80: {
+              grantsPermits_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 90: {
+              input.readMessage(
+                  internalGetPermitRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetPermitReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1833,6 +2033,364 @@
       return this;
     }
 
+    private boolean grantsPermits_ ;
+    /**
+     * <pre>
+     * whether this host answers requests for permits
+     * </pre>
+     *
+     * <code>bool grants_permits = 10;</code>
+     * @return The grantsPermits.
+     */
+    @java.lang.Override
+    public boolean getGrantsPermits() {
+      return grantsPermits_;
+    }
+    /**
+     * <pre>
+     * whether this host answers requests for permits
+     * </pre>
+     *
+     * <code>bool grants_permits = 10;</code>
+     * @param value The grantsPermits to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGrantsPermits(boolean value) {
+
+      grantsPermits_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether this host answers requests for permits
+     * </pre>
+     *
+     * <code>bool grants_permits = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGrantsPermits() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      grantsPermits_ = false;
+      onChanged();
+      return this;
+    }
+
+    private org.celerygw.core.gen.peers.PermitRequest permitRequest_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.PermitRequest, org.celerygw.core.gen.peers.PermitRequest.Builder, org.celerygw.core.gen.peers.PermitRequestOrBuilder> permitRequestBuilder_;
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     * @return Whether the permitRequest field is set.
+     */
+    public boolean hasPermitRequest() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     * @return The permitRequest.
+     */
+    public org.celerygw.core.gen.peers.PermitRequest getPermitRequest() {
+      if (permitRequestBuilder_ == null) {
+        return permitRequest_ == null ? org.celerygw.core.gen.peers.PermitRequest.getDefaultInstance() : permitRequest_;
+      } else {
+        return permitRequestBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public Builder setPermitRequest(org.celerygw.core.gen.peers.PermitRequest value) {
+      if (permitRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        permitRequest_ = value;
+      } else {
+        permitRequestBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public Builder setPermitRequest(
+        org.celerygw.core.gen.peers.PermitRequest.Builder builderForValue) {
+      if (permitRequestBuilder_ == null) {
+        permitRequest_ = builderForValue.build();
+      } else {
+        permitRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public Builder mergePermitRequest(org.celerygw.core.gen.peers.PermitRequest value) {
+      if (permitRequestBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0) &&
+          permitRequest_ != null &&
+          permitRequest_ != org.celerygw.core.gen.peers.PermitRequest.getDefaultInstance()) {
+          getPermitRequestBuilder().mergeFrom(value);
+        } else {
+          permitRequest_ = value;
+        }
+      } else {
+        permitRequestBuilder_.mergeFrom(value);
+      }
+      if (permitRequest_ != null) {
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public Builder clearPermitRequest() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      permitRequest_ = null;
+      if (permitRequestBuilder_ != null) {
+        permitRequestBuilder_.dispose();
+        permitRequestBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public org.celerygw.core.gen.peers.PermitRequest.Builder getPermitRequestBuilder() {
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return internalGetPermitRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    public org.celerygw.core.gen.peers.PermitRequestOrBuilder getPermitRequestOrBuilder() {
+      if (permitRequestBuilder_ != null) {
+        return permitRequestBuilder_.getMessageOrBuilder();
+      } else {
+        return permitRequest_ == null ?
+            org.celerygw.core.gen.peers.PermitRequest.getDefaultInstance() : permitRequest_;
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, which reports no load
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.PermitRequest, org.celerygw.core.gen.peers.PermitRequest.Builder, org.celerygw.core.gen.peers.PermitRequestOrBuilder> 
+        internalGetPermitRequestFieldBuilder() {
+      if (permitRequestBuilder_ == null) {
+        permitRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.core.gen.peers.PermitRequest, org.celerygw.core.gen.peers.PermitRequest.Builder, org.celerygw.core.gen.peers.PermitRequestOrBuilder>(
+                getPermitRequest(),
+                getParentForChildren(),
+                isClean());
+        permitRequest_ = null;
+      }
+      return permitRequestBuilder_;
+    }
+
+    private org.celerygw.core.gen.peers.PermitReply permitReply_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.PermitReply, org.celerygw.core.gen.peers.PermitReply.Builder, org.celerygw.core.gen.peers.PermitReplyOrBuilder> permitReplyBuilder_;
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     * @return Whether the permitReply field is set.
+     */
+    public boolean hasPermitReply() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     * @return The permitReply.
+     */
+    public org.celerygw.core.gen.peers.PermitReply getPermitReply() {
+      if (permitReplyBuilder_ == null) {
+        return permitReply_ == null ? org.celerygw.core.gen.peers.PermitReply.getDefaultInstance() : permitReply_;
+      } else {
+        return permitReplyBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public Builder setPermitReply(org.celerygw.core.gen.peers.PermitReply value) {
+      if (permitReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        permitReply_ = value;
+      } else {
+        permitReplyBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public Builder setPermitReply(
+        org.celerygw.core.gen.peers.PermitReply.Builder builderForValue) {
+      if (permitReplyBuilder_ == null) {
+        permitReply_ = builderForValue.build();
+      } else {
+        permitReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public Builder mergePermitReply(org.celerygw.core.gen.peers.PermitReply value) {
+      if (permitReplyBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          permitReply_ != null &&
+          permitReply_ != org.celerygw.core.gen.peers.PermitReply.getDefaultInstance()) {
+          getPermitReplyBuilder().mergeFrom(value);
+        } else {
+          permitReply_ = value;
+        }
+      } else {
+        permitReplyBuilder_.mergeFrom(value);
+      }
+      if (permitReply_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public Builder clearPermitReply() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      permitReply_ = null;
+      if (permitReplyBuilder_ != null) {
+        permitReplyBuilder_.dispose();
+        permitReplyBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public org.celerygw.core.gen.peers.PermitReply.Builder getPermitReplyBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetPermitReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    public org.celerygw.core.gen.peers.PermitReplyOrBuilder getPermitReplyOrBuilder() {
+      if (permitReplyBuilder_ != null) {
+        return permitReplyBuilder_.getMessageOrBuilder();
+      } else {
+        return permitReply_ == null ?
+            org.celerygw.core.gen.peers.PermitReply.getDefaultInstance() : permitReply_;
+      }
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.PermitReply, org.celerygw.core.gen.peers.PermitReply.Builder, org.celerygw.core.gen.peers.PermitReplyOrBuilder> 
+        internalGetPermitReplyFieldBuilder() {
+      if (permitReplyBuilder_ == null) {
+        permitReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.core.gen.peers.PermitReply, org.celerygw.core.gen.peers.PermitReply.Builder, org.celerygw.core.gen.peers.PermitReplyOrBuilder>(
+                getPermitReply(),
+                getParentForChildren(),
+                isClean());
+        permitReply_ = null;
+      }
+      return permitReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -176,4 +176,68 @@
    * @return The started at the given index.
    */
   int getStarted(int index);
+
+  /**
+   * <pre>
+   * whether this host answers requests for permits
+   * </pre>
+   *
+   * <code>bool grants_permits = 10;</code>
+   * @return The grantsPermits.
+   */
+  boolean getGrantsPermits();
+
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   * @return Whether the permitRequest field is set.
+   */
+  boolean hasPermitRequest();
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   * @return The permitRequest.
+   */
+  org.celerygw.core.gen.peers.PermitRequest getPermitRequest();
+  /**
+   * <pre>
+   * only in a datagram without host, which reports no load
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitRequest permit_request = 11;</code>
+   */
+  org.celerygw.core.gen.peers.PermitRequestOrBuilder getPermitRequestOrBuilder();
+
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   * @return Whether the permitReply field is set.
+   */
+  boolean hasPermitReply();
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   * @return The permitReply.
+   */
+  org.celerygw.core.gen.peers.PermitReply getPermitReply();
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
+   */
+  org.celerygw.core.gen.peers.PermitReplyOrBuilder getPermitReplyOrBuilder();
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
@@ -118,6 +118,36 @@
     return doubtful_;
   }
 
+  public static final int LIMIT_PER_S_FIELD_NUMBER = 4;
+  private double limitPerS_ = 0D;
+  /**
+   * <pre>
+   * requests per second that the server accepts from all hosts; 0 if not known
+   * </pre>
+   *
+   * <code>double limit_per_s = 4;</code>
+   * @return The limitPerS.
+   */
+  @java.lang.Override
+  public double getLimitPerS() {
+    return limitPerS_;
+  }
+
+  public static final int LIMIT_AGE_MS_FIELD_NUMBER = 5;
+  private int limitAgeMs_ = 0;
+  /**
+   * <pre>
+   * time since a response named the limit
+   * </pre>
+   *
+   * <code>int32 limit_age_ms = 5;</code>
+   * @return The limitAgeMs.
+   */
+  @java.lang.Override
+  public int getLimitAgeMs() {
+    return limitAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +171,12 @@
     if (doubtful_ != false) {
       output.writeBool(3, doubtful_);
     }
+    if (java.lang.Double.doubleToRawLongBits(limitPerS_) != 0) {
+      output.writeDouble(4, limitPerS_);
+    }
+    if (limitAgeMs_ != 0) {
+      output.writeInt32(5, limitAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -161,6 +197,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, doubtful_);
     }
+    if (java.lang.Double.doubleToRawLongBits(limitPerS_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(4, limitPerS_);
+    }
+    if (limitAgeMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, limitAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -182,6 +226,11 @@
         != other.getInFlight()) return false;
     if (getDoubtful()
         != other.getDoubtful()) return false;
+    if (java.lang.Double.doubleToLongBits(getLimitPerS())
+        != java.lang.Double.doubleToLongBits(
+            other.getLimitPerS())) return false;
+    if (getLimitAgeMs()
+        != other.getLimitAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -200,6 +249,11 @@
     hash = (37 * hash) + DOUBTFUL_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDoubtful());
+    hash = (37 * hash) + LIMIT_PER_S_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getLimitPerS()));
+    hash = (37 * hash) + LIMIT_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getLimitAgeMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -334,6 +388,8 @@
       server_ = "";
       inFlight_ = 0;
       doubtful_ = false;
+      limitPerS_ = 0D;
+      limitAgeMs_ = 0;
       return this;
     }
 
@@ -376,6 +432,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.doubtful_ = doubtful_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.limitPerS_ = limitPerS_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.limitAgeMs_ = limitAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -401,6 +463,12 @@
       if (other.getDoubtful() != false) {
         setDoubtful(other.getDoubtful());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getLimitPerS()) != 0) {
+        setLimitPerS(other.getLimitPerS());
+      }
+      if (other.getLimitAgeMs() != 0) {
+        setLimitAgeMs(other.getLimitAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -442,6 +510,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 33: {
+              limitPerS_ = input.readDouble();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 33
+            case 40: {
+              limitAgeMs_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -619,6 +697,94 @@
       return this;
     }
 
+    private double limitPerS_ ;
+    /**
+     * <pre>
+     * requests per second that the server accepts from all hosts; 0 if not known
+     * </pre>
+     *
+     * <code>double limit_per_s = 4;</code>
+     * @return The limitPerS.
+     */
+    @java.lang.Override
+    public double getLimitPerS() {
+      return limitPerS_;
+    }
+    /**
+     * <pre>
+     * requests per second that the server accepts from all hosts; 0 if not known
+     * </pre>
+     *
+     * <code>double limit_per_s = 4;</code>
+     * @param value The limitPerS to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitPerS(double value) {
+
+      limitPerS_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * requests per second that the server accepts from all hosts; 0 if not known
+     * </pre>
+     *
+     * <code>double limit_per_s = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitPerS() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      limitPerS_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private int limitAgeMs_ ;
+    /**
+     * <pre>
+     * time since a response named the limit
+     * </pre>
+     *
+     * <code>int32 limit_age_ms = 5;</code>
+     * @return The limitAgeMs.
+     */
+    @java.lang.Override
+    public int getLimitAgeMs() {
+      return limitAgeMs_;
+    }
+    /**
+     * <pre>
+     * time since a response named the limit
+     * </pre>
+     *
+     * <code>int32 limit_age_ms = 5;</code>
+     * @param value The limitAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitAgeMs(int value) {
+
+      limitAgeMs_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * time since a response named the limit
+     * </pre>
+     *
+     * <code>int32 limit_age_ms = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      limitAgeMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.ServerLoad)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
@@ -41,4 +41,24 @@
    * @return The doubtful.
    */
   boolean getDoubtful();
+
+  /**
+   * <pre>
+   * requests per second that the server accepts from all hosts; 0 if not known
+   * </pre>
+   *
+   * <code>double limit_per_s = 4;</code>
+   * @return The limitPerS.
+   */
+  double getLimitPerS();
+
+  /**
+   * <pre>
+   * time since a response named the limit
+   * </pre>
+   *
+   * <code>int32 limit_age_ms = 5;</code>
+   * @return The limitAgeMs.
+   */
+  int getLimitAgeMs();
 }
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -1,11 +1,16 @@
 package org.celerygw.core.peers;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.ServerLoad;
+import org.celerygw.core.servers.RequestLimit;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +30,7 @@
     public static final long MAX_DIGEST_AGE_MS = 3_000;
 
     private static final int MIN_FAILURE_REPORTS = 2;
+    private static final int MAX_LIMITS_TOLD = 100;
     private static final int LIVENESS_ROUNDS = 2;
 
     private final int fanout;
@@ -43,23 +49,61 @@
     }
 
     /**
-     * Returns the entries for this host's digest: its requests in flight, and the servers whose failure rate is high.
+     * Returns the entries for this host's digest: its requests in flight, the servers whose failure rate is high, and the
+     * {@value #MAX_LIMITS_TOLD} request limits that were named last.
      *
      * @param servers the servers
      * @param nowMs the current time, in ms
-     * @return an entry for each server with requests in flight or a high failure rate
+     * @return an entry for each server with requests in flight, a high failure rate or a limit to tell
      */
     public static List<ServerLoad> localLoads(ServerList servers, long nowMs) {
+        Set<TrackedServer> limited = servers.all().stream()
+                .filter(server -> tellsLimit(server, nowMs))
+                .sorted(Comparator.comparingLong(server -> server.limit().ageMs(nowMs)))
+                .limit(MAX_LIMITS_TOLD)
+                .collect(Collectors.toSet());
         return servers.all().stream()
-                .filter(server -> server.inFlight() > 0 || server.hasHighLocalFailureRate(nowMs))
-                .map(server -> ServerLoad.newBuilder()
-                        .setServer(server.entry().id())
-                        .setInFlight(server.inFlight())
-                        .setDoubtful(server.hasHighLocalFailureRate(nowMs))
-                        .build())
+                .filter(server ->
+                        server.inFlight() > 0 || server.hasHighLocalFailureRate(nowMs) || limited.contains(server))
+                .map(server -> localLoad(server, limited.contains(server), nowMs))
                 .toList();
     }
 
+    private static boolean tellsLimit(TrackedServer server, long nowMs) {
+        return server.limit().isInForce(nowMs) && server.limit().ageMs(nowMs) <= RequestLimit.MAX_TOLD_AGE_MS;
+    }
+
+    private static ServerLoad localLoad(TrackedServer server, boolean withLimit, long nowMs) {
+        ServerLoad.Builder load = ServerLoad.newBuilder()
+                .setServer(server.entry().id())
+                .setInFlight(server.inFlight())
+                .setDoubtful(server.hasHighLocalFailureRate(nowMs));
+        if (withLimit) {
+            load.setLimitPerS(server.limit().perS(nowMs))
+                    .setLimitAgeMs((int) server.limit().ageMs(nowMs));
+        }
+        return load.build();
+    }
+
+    /**
+     * Applies the request limits that a peer tells.
+     *
+     * @param digest the peer's digest, just received
+     * @param servers the servers to update
+     * @param nowMs the current time, in ms
+     * @return the servers whose limit this host did not know
+     */
+    public static List<TrackedServer> applyLimits(Digest digest, ServerList servers, long nowMs) {
+        List<TrackedServer> changed = new ArrayList<>();
+        for (ServerLoad load : digest.getLoadsList()) {
+            TrackedServer server = servers.byId(load.getServer());
+            if (server != null && server.limit().recordTold(load.getLimitPerS(), load.getLimitAgeMs(), nowMs)) {
+                changed.add(server);
+            }
+        }
+        return changed;
+    }
+
     /**
      * Sets each server's estimated load from the peers, and whether at least {@value #MIN_FAILURE_REPORTS} peers report
      * a high failure rate.
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -35,6 +35,7 @@
     private static final double SMOOTHING_FACTOR = 0.05;
     private static final double DEFAULT_SERVICE_MS = 200;
     private static final long MIN_RETRY_AFTER_MS = 100;
+    private static final double MIN_RATE_PER_S = 0.1;
     /** A request is refused at once if the expected wait is this many times what it can wait. */
     private static final int WAIT_ESTIMATE_TOLERANCE = 2;
 
@@ -139,7 +140,7 @@
         if (ahead == 0 && mayPassPeers && tryStart(entry, nowMs)) {
             return;
         }
-        long waitMs = expectedWaitMs(request.service(), ahead);
+        long waitMs = expectedWaitMs(request.service(), ahead, nowMs);
         if (nowMs + waitMs / WAIT_ESTIMATE_TOLERANCE > entry.request.latestStartMs()) {
             waiter.refuse("cannot start in time: expected wait " + waitMs + " ms", retryAfterMs(waitMs));
         } else {
@@ -272,7 +273,7 @@
                 .toList();
         expired.forEach(entry -> {
             queue.remove(entry);
-            long waitMs = expectedWaitMs(service, queue.size());
+            long waitMs = expectedWaitMs(service, queue.size(), nowMs);
             entry.waiter.refuse("waited until it could not start in time any more", retryAfterMs(waitMs));
         });
     }
@@ -280,9 +281,12 @@
     private void startWaiting(String service, TreeSet<Entry> queue, long nowMs) {
         QueueLength peers = peersWaiting.apply(service);
         QueueLength own = length(queue);
-        start(queue, true, share(service, own.underWay(), peers.underWay(), nowMs), nowMs);
+        // Permits are this host's own; only the room of engines without a request limit is shared with the peers.
+        int permits = selector.requestPermits(servers.byService(service), queue.size(), nowMs);
+        start(queue, true, permits + share(service, own.underWay(), peers.underWay(), nowMs), nowMs);
+        int left = permits - (own.underWay() - length(queue).underWay());
         if (peers.underWay() + length(queue).underWay() == 0) {
-            start(queue, false, share(service, own.others(), peers.others(), nowMs), nowMs);
+            start(queue, false, left + share(service, own.others(), peers.others(), nowMs), nowMs);
         }
     }
 
@@ -318,10 +322,16 @@
     }
 
     /**
-     * Returns the expected wait of a request behind others of this host: each of the requests that this host runs makes
-     * room for one when it ends.
+     * Returns the expected wait of a request behind others. Each of the requests that this host runs makes room for one
+     * when it ends; if all engines have a request limit, those that wait at any host share the sum of the limits.
      */
-    private long expectedWaitMs(String service, int ahead) {
+    private long expectedWaitMs(String service, int ahead, long nowMs) {
+        double limitPerS = selector.limitPerS(servers.byService(service), nowMs);
+        if (limitPerS < Double.POSITIVE_INFINITY) {
+            QueueLength peers = peersWaiting.apply(service);
+            return (long)
+                    ((ahead + 1 + peers.underWay() + peers.others()) * 1_000 / Math.max(MIN_RATE_PER_S, limitPerS));
+        }
         int running = servers.byService(service).stream()
                 .mapToInt(TrackedServer::inFlight)
                 .sum();
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -31,16 +32,20 @@
     private static final int BORROW_CHOICES = 2;
 
     private final String zone;
+    private final Consumer<TrackedServer> onPermitNeeded;
     private int groupIndex;
     private int groupCount = 1;
+    private int firstAsked;
 
     /**
      * Creates a selector for a host.
      *
      * @param zone the host's availability zone
+     * @param onPermitNeeded called with a server that would be selected if this host had a permit under its request limit
      */
-    public ServerSelector(String zone) {
+    public ServerSelector(String zone, Consumer<TrackedServer> onPermitNeeded) {
         this.zone = zone;
+        this.onPermitNeeded = onPermitNeeded;
     }
 
     /**
@@ -56,14 +61,15 @@
 
     /**
      * Selects an engine that has room. The engine that ran the previous turn may have up to twice the load limit of the
-     * others, since it has the program's prompt cached.
+     * others, since it has the program's prompt cached. An engine that needs a permit which this host lacks is passed over
+     * for this time, and a permit is asked for.
      *
      * @param servers the service's servers
      * @param affinityKey the key of requests that should go to the same engine, for example the program's id
      * @param previousServer the id of the server that ran the previous turn; empty if unknown
      * @param excludedIds ids of servers that must not be selected
      * @param nowMs the current time, in ms
-     * @return the engine; empty if none is usable or all are full
+     * @return the engine; empty if none is usable, or all are full or need a permit
      */
     public Optional<TrackedServer> selectEngine(
             List<TrackedServer> servers,
@@ -72,6 +78,16 @@
             Set<String> excludedIds,
             long nowMs) {
         List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
+        Optional<TrackedServer> first = selectEngine(servers, candidates, affinityKey, previousServer);
+        if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
+            return first;
+        }
+        onPermitNeeded.accept(first.get());
+        return selectEngine(servers, allowed(candidates, nowMs), affinityKey, previousServer);
+    }
+
+    private Optional<TrackedServer> selectEngine(
+            List<TrackedServer> servers, List<TrackedServer> candidates, String affinityKey, String previousServer) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -136,8 +152,8 @@
     }
 
     /**
-     * Returns how many requests the usable engines of a service can take in addition to those in flight. Counts the
-     * engines that this host's group uses if the zone has several groups.
+     * Returns how many requests the usable engines of a service without a request limit can take in addition to those in
+     * flight. Counts the engines that this host's group uses if the zone has several groups.
      *
      * @param servers the service's servers
      * @param nowMs the current time, in ms
@@ -148,11 +164,50 @@
         Set<TrackedServer> subset = subset(servers, candidates);
         long sum = candidates.stream()
                 .filter(server -> groupCount == 1 || subset.contains(server))
+                .filter(server -> !server.limit().isInForce(nowMs))
                 .mapToLong(server -> Math.max(0, room(server)))
                 .sum();
         return (int) Math.min(Integer.MAX_VALUE, sum);
     }
 
+    /**
+     * Asks for permits because requests wait for them: for as many servers as requests wait, less those for which a permit
+     * is held or expected, since a permit that is not used is lost for all hosts.
+     *
+     * @param servers the service's servers
+     * @param waiting the number of waiting requests
+     * @param nowMs the current time, in ms
+     * @return the number of permits that this host holds and can use now
+     */
+    public int requestPermits(List<TrackedServer> servers, int waiting, long nowMs) {
+        List<TrackedServer> limited = candidates(servers, Set.of(), nowMs).stream()
+                .filter(server -> server.limit().isInForce(nowMs) && room(server) > 0)
+                .toList();
+        long expected = limited.stream()
+                .filter(server -> server.limit().expectsPermit(nowMs))
+                .count();
+        firstAsked++;
+        IntStream.range(0, limited.size())
+                .mapToObj(i -> limited.get(Math.floorMod(firstAsked + i, limited.size())))
+                .filter(server -> server.limit().mayRequestPermit(nowMs))
+                .limit(Math.max(0, waiting - expected))
+                .forEach(onPermitNeeded);
+        return allowed(limited, nowMs).size();
+    }
+
+    /**
+     * Returns the rate at which a service's servers accept requests from all hosts.
+     *
+     * @param servers the service's servers
+     * @param nowMs the current time, in ms
+     * @return the sum of their request limits, in requests per second; infinite if a usable one has none
+     */
+    public double limitPerS(List<TrackedServer> servers, long nowMs) {
+        return candidates(servers, Set.of(), nowMs).stream()
+                .mapToDouble(server -> server.limit().perS(nowMs))
+                .sum();
+    }
+
     /**
      * Selects a server of a service that does not run engines.
      *
@@ -160,14 +215,26 @@
      * @param excludedIds ids of servers that must not be selected
      * @param affinityKey the key that decides between servers with the same load and zone
      * @param nowMs the current time, in ms
-     * @return the server; empty if none is usable
+     * @return the server; empty if none is usable or all need a permit that this host lacks
      */
     public Optional<TrackedServer> selectServer(
             List<TrackedServer> servers, Set<String> excludedIds, String affinityKey, long nowMs) {
-        return candidates(servers, excludedIds, nowMs).stream()
-                .min(Comparator.<TrackedServer>comparingInt(
-                                server -> 2 * server.load() + (isInLocalZone(server) ? 0 : 1))
-                        .thenComparing(server -> rendezvousWeight(server, affinityKey)));
+        List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
+        Comparator<TrackedServer> byLoad = Comparator.<TrackedServer>comparingInt(
+                        server -> 2 * server.load() + (isInLocalZone(server) ? 0 : 1))
+                .thenComparing(server -> rendezvousWeight(server, affinityKey));
+        Optional<TrackedServer> first = candidates.stream().min(byLoad);
+        if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
+            return first;
+        }
+        onPermitNeeded.accept(first.get());
+        return allowed(candidates, nowMs).stream().min(byLoad);
+    }
+
+    private static List<TrackedServer> allowed(List<TrackedServer> servers, long nowMs) {
+        return servers.stream()
+                .filter(server -> server.limit().allowsRequest(nowMs))
+                .toList();
     }
 
     /**
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -22,7 +22,7 @@
     private double failureRate;
     private long failureRateAtMs;
     private boolean peersReportFailures;
-    private double limitPerS = Double.POSITIVE_INFINITY;
+    private final RequestLimit limit = new RequestLimit();
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
@@ -91,9 +91,10 @@
         peersInFlight += requests;
     }
 
-    /** Records that a request was sent. */
+    /** Records that a request was sent, which uses up a permit. */
     public void requestStarted() {
         inFlight++;
+        limit.usePermit();
     }
 
     /** Records that a request ended, successfully or not. */
@@ -192,25 +193,13 @@
         return nowMs < pausedUntilMs;
     }
 
-    /**
-     * Records what a response of the server says about its request limit.
-     *
-     * @param requestsPerS the requests per second that it accepts from all hosts together; infinite if it names no limit
-     * @return whether this differs from what it said before
-     */
-    public boolean recordLimit(double requestsPerS) {
-        boolean changed = limitPerS != requestsPerS;
-        limitPerS = requestsPerS;
-        return changed;
-    }
-
     /**
      * Returns the server's request limit.
      *
-     * @return the requests per second that it accepts from all hosts together; infinite if it has named no limit
+     * @return the limit and the permits under it
      */
-    public double limitPerS() {
-        return limitPerS;
+    public RequestLimit limit() {
+        return limit;
     }
 
     void update(BackendServer newEntry) {
--- a/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
@@ -37,7 +37,7 @@
         servers = new ServerList(s -> {});
         servers.put(new BackendServer("i1", "e", "127.0.0.1", 1, "z", ROOM - 1, false, 1));
         engine = servers.byId("i1");
-        queue = new EngineQueue(servers, new ServerSelector("z"), service -> peersWaiting, () -> 0.5);
+        queue = new EngineQueue(servers, new ServerSelector("z", server -> {}), service -> peersWaiting, () -> 0.5);
     }
 
     private final class Waiter implements EngineQueue.Waiter {
@@ -123,7 +123,7 @@
     @Test
     public void programThatAnotherHostHasStartedIsUnderWay() {
         EngineQueue own = queue;
-        queue = new EngineQueue(servers, new ServerSelector("z"), service -> QueueLength.NONE, () -> 0.5);
+        queue = new EngineQueue(servers, new ServerSelector("z", server -> {}), service -> QueueLength.NONE, () -> 0.5);
         offer("p", false, 0, 1_000);
         List<Integer> startedElsewhere = queue.recentlyStarted(NOW_MS + 900);
         assertEquals(queue.recentlyStarted(NOW_MS + 1_100), List.of());
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -152,7 +152,7 @@
         Host(String name, String zone) {
             this.name = name;
             this.zone = zone;
-            this.selector = new ServerSelector(zone);
+            this.selector = new ServerSelector(zone, server -> {});
             this.queue = new EngineQueue(servers, selector, this::waitingAtPeers, random::nextDouble);
         }
 
--- a/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
@@ -68,7 +68,7 @@
         servers.put(server("a", 1, false));
         servers.put(server("a", 1, true));
         assertFalse(servers.byService("s").get(0).isUsable());
-        assertTrue(new ServerSelector("z")
+        assertTrue(new ServerSelector("z", server -> {})
                 .selectServer(servers.byService("s"), Set.of(), "x", 0)
                 .isEmpty());
     }
@@ -78,7 +78,7 @@
         for (int i = 0; i < 9; i++) {
             servers.put(server("e" + i, 1, false));
         }
-        ServerSelector selector = new ServerSelector("z");
+        ServerSelector selector = new ServerSelector("z", server -> {});
         TrackedServer preferred = selector.selectEngine(servers.byService("s"), "program", "", Set.of(), 0)
                 .orElseThrow();
         assertSame(
@@ -99,7 +99,7 @@
         servers.put(server("b", 1, false));
         TrackedServer failing = servers.byId("a");
         failing.recordFailure(1_000);
-        ServerSelector selector = new ServerSelector("z");
+        ServerSelector selector = new ServerSelector("z", server -> {});
         assertEquals(
                 selector.selectServer(servers.byService("s"), Set.of(), "x", 1_050)
                         .orElseThrow(),
--- a/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
@@ -23,7 +23,7 @@
         servers = new ServerList(s -> {});
         IntStream.range(0, 6).forEach(i -> put("a" + i, "a", false));
         IntStream.range(0, 3).forEach(i -> put("b" + i, "b", false));
-        selector = new ServerSelector("a");
+        selector = new ServerSelector("a", server -> {});
     }
 
     private void put(String id, String zone, boolean draining) {
@@ -65,7 +65,7 @@
 
     @Test
     public void zoneWithoutEnginesUsesThoseOfOtherZones() {
-        selector = new ServerSelector("c");
+        selector = new ServerSelector("c", server -> {});
         selector.setGroup(1, 2);
         assertEquals(selectedWhileIdle().size(), 9);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -7,11 +7,14 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.limits.Permits;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.QueueLength;
@@ -65,6 +68,7 @@
     private final Clock clock = new MonotonicClock();
     private final Scheduler scheduler;
     private final ServerList servers;
+    private final Permits permits;
     private final ServerSelector serverSelector;
     private final OriginPools originPools;
     private final EngineQueue engineQueue;
@@ -106,7 +110,8 @@
         this.adapter = factory.create(loop, clock);
         this.originPools = new OriginPools(loop, clock);
         this.servers = new ServerList(originPools::remove);
-        this.serverSelector = new ServerSelector(settings.zone());
+        this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
+        this.serverSelector = new ServerSelector(settings.zone(), permits::request);
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
@@ -140,7 +145,8 @@
                 name -> CONFIGURATION_FEED.equals(name) ? configurationWatch.snapshot() : serverWatch.snapshot(),
                 servers,
                 health,
-                new PeersLocalState());
+                new PeersLocalState(),
+                permits);
         configurationWatch.setPeerSource(callback -> peers.readFeed(CONFIGURATION_FEED, callback));
         serverWatch.setPeerSource(callback -> peers.readFeed(SERVER_FEED, callback));
         ProgramStore programStore = new ProgramStore(
@@ -155,6 +161,7 @@
                 new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
                         .nextDouble());
         metrics.registerQueue(engineQueue);
+        metrics.registerLimits(servers, permits, clock);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
@@ -404,6 +411,29 @@
         }
     }
 
+    /** Reaches the hosts that issue permits for servers with a request limit. */
+    private final class PermitNetwork implements Permits.Network {
+        @Override
+        public Collection<String> grantingHosts() {
+            return peers.grantingHosts();
+        }
+
+        @Override
+        public void send(String host, PermitRequest request) {
+            peers.sendPermitRequest(host, request);
+        }
+
+        @Override
+        public void announce(String host) {
+            peers.sendDigest(host);
+        }
+
+        @Override
+        public boolean mayGrant() {
+            return !stopping && peers.knowsHosts();
+        }
+    }
+
     /** Applies configurations whose version is newer than the current one. */
     private final class ConfigListener implements Watch.Listener {
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -11,7 +11,10 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.celerygw.core.limits.Permits;
 import org.celerygw.core.scheduling.EngineQueue;
+import org.celerygw.core.servers.ServerList;
+import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -67,6 +70,22 @@
                         .sum());
     }
 
+    /** Registers the metrics of the servers' request limits. */
+    void registerLimits(ServerList servers, Permits permits, Clock clock) {
+        registerGauge(
+                "celerygw_limited_servers",
+                "Backend servers with a request limit, as known to this host",
+                () -> servers.all().stream()
+                        .filter(server -> server.limit().isInForce(clock.nowMs()))
+                        .count());
+        registerCounter(
+                "celerygw_permits_granted_total", "Permits that this host was granted", permits::grantedPermits);
+        registerCounter(
+                "celerygw_permits_refused_total", "Requests for permits to be repeated later", permits::refusedPermits);
+        registerCounter(
+                "celerygw_permit_replies_lost_total", "Requests for permits without a reply", permits::lostReplies);
+    }
+
     /** Counts a completed call to the store and adds its duration to the histogram. */
     void recordStoreCall(String kind, String outcome, long durationMs) {
         storeCalls.labelValues(kind, outcome).inc();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -25,6 +25,7 @@
 final class Exchange {
     private static final int MAX_SENDS = 6;
     private static final long RETRY_DELAY_MS = 15;
+    private static final long PERMIT_POLL_INTERVAL_MS = 15;
     private static final long MIN_REMAINING_TO_SEND_MS = 20;
     private static final long NON_REPEATABLE_MAX_IDLE_MS = 1_500;
     private static final long REPEATABLE_MAX_IDLE_MS = 60_000;
@@ -162,7 +163,7 @@
             engineWait = new EngineWait(this);
             engineWait.begin(service.name(), turn.previousServerId(), triedServerIds);
         } else {
-            selectServer(service).ifPresentOrElse(this::sendTo, this::endWithoutServer);
+            selectServer(service).ifPresentOrElse(this::sendTo, () -> awaitPermit(service));
         }
     }
 
@@ -287,6 +288,17 @@
         forwarder.exchangeEnded();
     }
 
+    /** Tries again while some server is usable, though none may be sent a request now; there is no queue here. */
+    private void awaitPermit(Service plainService) {
+        boolean usable = forwarder.serverSelector.hasUsableServer(
+                forwarder.servers.byService(plainService.name()), triedServerIds, forwarder.clock.nowMs());
+        if (usable && forwarder.clock.nowMs() < latestSendMs()) {
+            forwarder.scheduler.schedule(PERMIT_POLL_INTERVAL_MS, this::send);
+        } else {
+            endWithoutServer();
+        }
+    }
+
     private Optional<TrackedServer> selectServer(Service plainService) {
         return forwarder.serverSelector.selectServer(
                 forwarder.servers.byService(plainService.name()),
@@ -493,7 +505,8 @@
         private void recordLimit(ResponseMetadata response) {
             boolean namesLimit = response.limitPerS() < Double.POSITIVE_INFINITY;
             boolean saysNone = !namesLimit && verdict == Verdict.PASS && response.isSuccessful();
-            if ((namesLimit || saysNone) && server.recordLimit(response.limitPerS())) {
+            if ((namesLimit || saysNone)
+                    && server.limit().recordResponse(response.limitPerS(), forwarder.clock.nowMs())) {
                 forwarder.requestLog.logLimit(Exchange.this, server.entry().id(), response);
             }
         }
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -14,13 +14,18 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.Digest;
+import org.celerygw.core.gen.peers.PermitReply;
+import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.limits.Permits;
 import org.celerygw.core.peers.DigestTargets;
 import org.celerygw.core.peers.FleetLoadEstimator;
 import org.celerygw.core.peers.HostGroup;
@@ -54,6 +59,7 @@
     private final DigestTargets targets = new DigestTargets(ROUND_SIZE);
     private final BiConsumer<Integer, Integer> onGroup;
     private final Consumer<List<Integer>> onStarted;
+    private final Permits permits;
     private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
     private boolean changePending;
@@ -73,7 +79,8 @@
             PeerTable peers,
             LocalDigest localDigest,
             BiConsumer<Integer, Integer> onGroup,
-            Consumer<List<Integer>> onStarted) {
+            Consumer<List<Integer>> onStarted,
+            Permits permits) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.host = host;
@@ -83,6 +90,7 @@
         this.localDigest = localDigest;
         this.onGroup = onGroup;
         this.onStarted = onStarted;
+        this.permits = permits;
     }
 
     /** Starts to receive datagrams; fails when the address cannot be bound. */
@@ -143,6 +151,7 @@
                 .create()
                 .setHost(host)
                 .setZone(zone)
+                .setGrantsPermits(permits.grants())
                 .addAllLoads(FleetLoadEstimator.localLoads(servers, clock.nowMs()))
                 .build()
                 .toByteArray();
@@ -152,14 +161,50 @@
         channel.flush();
     }
 
+    /** Sends a request for a permit to the host of that name; does nothing if the host is not known. */
+    void send(String receiver, PermitRequest request) {
+        Digest datagram = Digest.newBuilder().setPermitRequest(request).build();
+        peer(receiver).ifPresent(p -> send(p.address, datagram));
+    }
+
+    /** Sends the digest to the host of that name; does nothing if the host is not known. */
+    void sendDigest(String receiver) {
+        peer(receiver).ifPresent(p -> send(List.of(p)));
+    }
+
+    /** A host that was replaced may have registered twice; the address that was seen last is the present one. */
+    private Optional<Peer> peer(String name) {
+        return peers.all().stream().filter(p -> p.name.equals(name)).max(Comparator.comparingLong(p -> p.lastSeenAtMs));
+    }
+
+    private void send(InetSocketAddress receiver, Digest datagram) {
+        Channel channel = socket;
+        if (channel != null) {
+            var unused =
+                    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram.toByteArray()), receiver));
+        }
+    }
+
+    private void receivePermitDatagram(InetSocketAddress sender, Digest datagram) {
+        if (datagram.hasPermitRequest()) {
+            PermitReply reply = permits.answer(datagram.getPermitRequest());
+            send(sender, Digest.newBuilder().setPermitReply(reply).build());
+        }
+        if (datagram.hasPermitReply()) {
+            permits.onReply(datagram.getPermitReply());
+        }
+    }
+
     private void receive(InetSocketAddress sender, byte[] bytes) {
         try {
             Digest digest = Digest.parseFrom(bytes);
             peers.add(sender);
             Peer peer = peers.get(sender);
             if (peer == null || digest.getHost().isEmpty()) {
+                receivePermitDatagram(sender, digest);
                 return;
             }
+            permits.onHostAlive(digest.getHost());
             if (peer.digest.getHost().isEmpty()) {
                 LOG.atInfo()
                         .addKeyValue("peer", digest.getHost())
@@ -170,7 +215,13 @@
             fleetLoadEstimator.applyChange(
                     counted ? peer.digest : null, digest, group.peers().contains(peer), servers);
             onStarted.accept(digest.getStartedList());
+            FleetLoadEstimator.applyLimits(digest, servers, clock.nowMs()).forEach(server -> LOG.atWarn()
+                    .addKeyValue("server", server.entry().id())
+                    .addKeyValue("limitPerS", server.limit().perS(clock.nowMs()))
+                    .addKeyValue("peer", digest.getHost())
+                    .log("servers: a peer tells of a request limit"));
             peer.digest = digest;
+            peer.name = digest.getHost();
             peer.lastSeenAtMs = clock.nowMs();
         } catch (InvalidProtocolBufferException e) {
             LOG.atWarn().addKeyValue("address", sender).log("peers: malformed datagram dropped");
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peer.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peer.java
@@ -8,6 +8,9 @@
 final class Peer {
     final InetSocketAddress address;
     final OriginPool originPool;
+    /** From its row or its digests; empty while neither is known. */
+    String name = "";
+
     Digest digest = Digest.getDefaultInstance();
     long lastSeenAtMs;
 
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -8,12 +8,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.celerygw.core.gen.peers.Digest;
+import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.limits.Permits;
 import org.celerygw.core.peers.WaitingCodec;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.ServerList;
@@ -49,6 +53,7 @@
     private final DigestExchange digests;
     private final LocalState localState;
     private int nextRelayIndex;
+    private boolean knowsHosts;
     private long relayedCalls;
 
     /** The state of this host that its digests report; notified when a peer is ahead of it. */
@@ -116,6 +121,7 @@
      * @param servers updated with the load that the peers report
      * @param health whether and how quickly the store answers this host
      * @param localState the state of this host to report
+     * @param permits the permits that hosts ask each other for
      */
     public Peers(
             EventLoop loop,
@@ -130,7 +136,8 @@
             Function<String, RowFeed.Result> feeds,
             ServerList servers,
             StoreHealth health,
-            LocalState localState) {
+            LocalState localState,
+            Permits permits) {
         this.loop = loop;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -150,7 +157,8 @@
                 peers,
                 this::localDigest,
                 localState::onGroup,
-                localState::startedElsewhere);
+                localState::startedElsewhere,
+                permits);
         seeds.forEach(peers::add);
     }
 
@@ -223,6 +231,48 @@
                         .orElse(RowFeed.Result.withoutRows(RowFeed.Status.FAILED))));
     }
 
+    /**
+     * Returns the other registered hosts, except those that say that they grant no permits. Which of them are down shows
+     * when one is asked: in a large fleet, a digest of each arrives only every few seconds.
+     *
+     * @return the hosts' names
+     */
+    public Set<String> grantingHosts() {
+        return peers.all().stream()
+                .filter(p -> p.digest.getHost().isEmpty() || p.digest.getGrantsPermits())
+                .map(p -> p.name)
+                .filter(name -> !name.isEmpty() && !name.equals(host))
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Returns whether the registered hosts were read from the store since the start.
+     *
+     * @return false while hosts may be unknown that have not sent a digest yet
+     */
+    public boolean knowsHosts() {
+        return knowsHosts;
+    }
+
+    /**
+     * Sends a request for a permit to another host.
+     *
+     * @param receiver the host's name
+     * @param request the request
+     */
+    public void sendPermitRequest(String receiver, PermitRequest request) {
+        digests.send(receiver, request);
+    }
+
+    /**
+     * Sends this host's digest to another host at once.
+     *
+     * @param receiver the host's name
+     */
+    public void sendDigest(String receiver) {
+        digests.sendDigest(receiver);
+    }
+
     /**
      * Returns how many other hosts sent a digest recently.
      *
@@ -275,10 +325,11 @@
                 txn,
                 result -> hostTable.scan(ROW_PREFIX, "", MAX_HOSTS, answer -> {
                     answer.rows().forEach(this::addPeer);
-                    boolean registered = result.currentRows().isEmpty() && answer.ok() && result.version() > 0;
+                    knowsHosts |= answer.ok();
+                    boolean complete = result.currentRows().isEmpty() && answer.ok() && result.version() > 0;
                     scheduler.schedule(
-                            registered ? HOST_TABLE_REFRESH_MS : REGISTRATION_RETRY_MS,
-                            registered ? this::refreshHosts : this::register);
+                            complete ? HOST_TABLE_REFRESH_MS : REGISTRATION_RETRY_MS,
+                            complete ? this::refreshHosts : this::register);
                 }));
     }
 
@@ -292,7 +343,12 @@
     private void addPeer(Row row) {
         String[] parts = row.value().toStringUtf8().split(":", 2);
         if (parts.length == 2 && !parts[1].isEmpty() && parts[1].chars().allMatch(Character::isDigit)) {
-            peers.add(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
+            InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+            peers.add(address);
+            Peer peer = peers.get(address);
+            if (peer != null && peer.name.isEmpty()) {
+                peer.name = row.key().substring(ROW_PREFIX.length());
+            }
         }
     }
 
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -82,7 +82,7 @@
         OriginPools originPools = new OriginPools(loop, clock);
         servers = new ServerList(originPools::remove);
         RouteTable routes = routeTable();
-        ServerSelector serverSelector = new ServerSelector("z");
+        ServerSelector serverSelector = new ServerSelector("z", server -> {});
         Forwarder forwarder = new Forwarder(
                 clock,
                 scheduler,
