Log by what it asks for a request whose server broke off

A line "route: a server broke off" now has hashes of path and content, the same at all hosts, the time since the send and the events received. ForwarderTest passes.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -46,6 +46,7 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final ProgramTurn turn;
+    private final CrashGuard crashGuard = new CrashGuard(this);
     private final long timeoutMs;
     private final long deadlineMs;
     private final Set<String> triedServerIds = new HashSet<>();
@@ -119,6 +120,11 @@
         return serverMs;
     }
 
+    /** Returns the time since the current send, in ms. */
+    long currentSendMs() {
+        return forwarder.clock.nowMs() - sentMs;
+    }
+
     /** Returns how long the request has waited until an engine had room, in ms. */
     long queuedMs() {
         return queuedMs;
@@ -445,11 +451,13 @@
     /** Handles the response to one send. */
     private final class BackendResponseHandler implements ResponseHandler {
         private final TrackedServer server;
+        private final int eventsBefore;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
 
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
+            this.eventsBefore = responseWriter.receivedEvents();
         }
 
         @Override
@@ -495,6 +503,11 @@
         public void onFailure(boolean sent) {
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
+                forwarder.requestLog.logBrokenOff(
+                        Exchange.this,
+                        crashGuard.fingerprint(),
+                        server.entry().id(),
+                        responseWriter.receivedEvents() - eventsBefore);
                 onResponseLost(server, "broken");
             } else {
                 onNotExecuted(server, "unreachable");
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celerygw.core.quarantine.Fingerprint;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -70,6 +71,18 @@
         }
     }
 
+    /** Logs by what it asks for a request whose server broke off, so that its attempts at all hosts can be compared. */
+    void logBrokenOff(Exchange exchange, Fingerprint fingerprint, String serverId, int events) {
+        LOG.atWarn()
+                .addKeyValue("request", exchange.metadata.id())
+                .addKeyValue("server", serverId)
+                .addKeyValue("path", Long.toHexString(fingerprint.path()))
+                .addKeyValue("content", Long.toHexString(fingerprint.content()))
+                .addKeyValue("runMs", exchange.currentSendMs())
+                .addKeyValue("events", events)
+                .log("route: a server broke off");
+    }
+
     void logLimit(Exchange exchange, String serverId, ResponseMetadata response) {
         limitChanges.inc();
         LOG.atWarn()
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -36,6 +36,11 @@
         return receivedEvents - pendingEvents.size();
     }
 
+    /** Returns the number of events received from servers. */
+    int receivedEvents() {
+        return receivedEvents;
+    }
+
     /** Returns whether a stream has started, even if nothing was sent to the client yet. */
     boolean streaming() {
         return streaming;
