Hold requests under which servers crash one after the other

Cause: a lost answer is retried at another server, by the host or by the client at another host, and nobody remembers the request; each attempt has a new id. Class of fault: a bound on retries that is kept for each attempt although the harm adds up over attempts and hosts.

Change: core.quarantine counts the servers that broke off under a request (content: host, method, target and body), and under a path, one after the other and without a complete answer in between; three crashes hold it at all hosts, late ones count half. Servers that fail at the same moment count once, so that a rack that goes down accuses nobody. After the hold (8 s for a path, 60 s for a content, twice as long after each crash) one host at a time sends one probe. Hosts tell each other at most 48 suspects with their ages. A held request is refused at once with 503 and a spread Retry-After, or with 502 if it had run in this attempt.

--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -32,6 +32,7 @@
     loads_ = java.util.Collections.emptyList();
     zone_ = "";
     started_ = emptyIntList();
+    suspects_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -468,6 +469,67 @@
     return permitReply_ == null ? org.celerygw.core.gen.peers.PermitReply.getDefaultInstance() : permitReply_;
   }
 
+  public static final int SUSPECTS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.celerygw.core.gen.peers.CrashSuspect> suspects_;
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.celerygw.core.gen.peers.CrashSuspect> getSuspectsList() {
+    return suspects_;
+  }
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.celerygw.core.gen.peers.CrashSuspectOrBuilder> 
+      getSuspectsOrBuilderList() {
+    return suspects_;
+  }
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  @java.lang.Override
+  public int getSuspectsCount() {
+    return suspects_.size();
+  }
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.CrashSuspect getSuspects(int index) {
+    return suspects_.get(index);
+  }
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.CrashSuspectOrBuilder getSuspectsOrBuilder(
+      int index) {
+    return suspects_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -526,6 +588,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(12, getPermitReply());
     }
+    for (int i = 0; i < suspects_.size(); i++) {
+      output.writeMessage(13, suspects_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -599,6 +664,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, getPermitReply());
     }
+
+        {
+          final int count = suspects_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(suspects_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -644,6 +718,8 @@
       if (!getPermitReply()
           .equals(other.getPermitReply())) return false;
     }
+    if (!getSuspectsList()
+        .equals(other.getSuspectsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -693,6 +769,10 @@
       hash = (37 * hash) + PERMIT_REPLY_FIELD_NUMBER;
       hash = (53 * hash) + getPermitReply().hashCode();
     }
+    if (getSuspectsCount() > 0) {
+      hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspectsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -848,6 +928,7 @@
         internalGetLoadsFieldBuilder();
         internalGetPermitRequestFieldBuilder();
         internalGetPermitReplyFieldBuilder();
+        internalGetSuspectsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -880,6 +961,13 @@
         permitReplyBuilder_.dispose();
         permitReplyBuilder_ = null;
       }
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+      } else {
+        suspects_ = null;
+        suspectsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -922,6 +1010,15 @@
       } else {
         result.loads_ = loadsBuilder_.build();
       }
+      if (suspectsBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          suspects_ = java.util.Collections.unmodifiableList(suspects_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.suspects_ = suspects_;
+      } else {
+        result.suspects_ = suspectsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.celerygw.core.gen.peers.Digest result) {
@@ -1053,6 +1150,32 @@
       if (other.hasPermitReply()) {
         mergePermitReply(other.getPermitReply());
       }
+      if (suspectsBuilder_ == null) {
+        if (!other.suspects_.isEmpty()) {
+          if (suspects_.isEmpty()) {
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureSuspectsIsMutable();
+            suspects_.addAll(other.suspects_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.suspects_.isEmpty()) {
+          if (suspectsBuilder_.isEmpty()) {
+            suspectsBuilder_.dispose();
+            suspectsBuilder_ = null;
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            suspectsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSuspectsFieldBuilder() : null;
+          } else {
+            suspectsBuilder_.addAllMessages(other.suspects_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1167,6 +1290,19 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 106: {
+              org.celerygw.core.gen.peers.CrashSuspect m =
+                  input.readMessage(
+                      org.celerygw.core.gen.peers.CrashSuspect.parser(),
+                      extensionRegistry);
+              if (suspectsBuilder_ == null) {
+                ensureSuspectsIsMutable();
+                suspects_.add(m);
+              } else {
+                suspectsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2391,6 +2527,318 @@
       return permitReplyBuilder_;
     }
 
+    private java.util.List<org.celerygw.core.gen.peers.CrashSuspect> suspects_ =
+      java.util.Collections.emptyList();
+    private void ensureSuspectsIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        suspects_ = new java.util.ArrayList<org.celerygw.core.gen.peers.CrashSuspect>(suspects_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.CrashSuspect, org.celerygw.core.gen.peers.CrashSuspect.Builder, org.celerygw.core.gen.peers.CrashSuspectOrBuilder> suspectsBuilder_;
+
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.CrashSuspect> getSuspectsList() {
+      if (suspectsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(suspects_);
+      } else {
+        return suspectsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public int getSuspectsCount() {
+      if (suspectsBuilder_ == null) {
+        return suspects_.size();
+      } else {
+        return suspectsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public org.celerygw.core.gen.peers.CrashSuspect getSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);
+      } else {
+        return suspectsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder setSuspects(
+        int index, org.celerygw.core.gen.peers.CrashSuspect value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.set(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder setSuspects(
+        int index, org.celerygw.core.gen.peers.CrashSuspect.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder addSuspects(org.celerygw.core.gen.peers.CrashSuspect value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.add(value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder addSuspects(
+        int index, org.celerygw.core.gen.peers.CrashSuspect value) {
+      if (suspectsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectsIsMutable();
+        suspects_.add(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder addSuspects(
+        org.celerygw.core.gen.peers.CrashSuspect.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder addSuspects(
+        int index, org.celerygw.core.gen.peers.CrashSuspect.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder addAllSuspects(
+        java.lang.Iterable<? extends org.celerygw.core.gen.peers.CrashSuspect> values) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, suspects_);
+        onChanged();
+      } else {
+        suspectsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder clearSuspects() {
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        suspectsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public Builder removeSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.remove(index);
+        onChanged();
+      } else {
+        suspectsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public org.celerygw.core.gen.peers.CrashSuspect.Builder getSuspectsBuilder(
+        int index) {
+      return internalGetSuspectsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public org.celerygw.core.gen.peers.CrashSuspectOrBuilder getSuspectsOrBuilder(
+        int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);  } else {
+        return suspectsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public java.util.List<? extends org.celerygw.core.gen.peers.CrashSuspectOrBuilder> 
+         getSuspectsOrBuilderList() {
+      if (suspectsBuilder_ != null) {
+        return suspectsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(suspects_);
+      }
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public org.celerygw.core.gen.peers.CrashSuspect.Builder addSuspectsBuilder() {
+      return internalGetSuspectsFieldBuilder().addBuilder(
+          org.celerygw.core.gen.peers.CrashSuspect.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public org.celerygw.core.gen.peers.CrashSuspect.Builder addSuspectsBuilder(
+        int index) {
+      return internalGetSuspectsFieldBuilder().addBuilder(
+          index, org.celerygw.core.gen.peers.CrashSuspect.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * requests under which servers broke off lately
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.CrashSuspect.Builder> 
+         getSuspectsBuilderList() {
+      return internalGetSuspectsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.CrashSuspect, org.celerygw.core.gen.peers.CrashSuspect.Builder, org.celerygw.core.gen.peers.CrashSuspectOrBuilder> 
+        internalGetSuspectsFieldBuilder() {
+      if (suspectsBuilder_ == null) {
+        suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.celerygw.core.gen.peers.CrashSuspect, org.celerygw.core.gen.peers.CrashSuspect.Builder, org.celerygw.core.gen.peers.CrashSuspectOrBuilder>(
+                suspects_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        suspects_ = null;
+      }
+      return suspectsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -240,4 +240,48 @@
    * <code>.celerygw.peers.PermitReply permit_reply = 12;</code>
    */
   org.celerygw.core.gen.peers.PermitReplyOrBuilder getPermitReplyOrBuilder();
+
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  java.util.List<org.celerygw.core.gen.peers.CrashSuspect> 
+      getSuspectsList();
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  org.celerygw.core.gen.peers.CrashSuspect getSuspects(int index);
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  int getSuspectsCount();
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  java.util.List<? extends org.celerygw.core.gen.peers.CrashSuspectOrBuilder> 
+      getSuspectsOrBuilderList();
+  /**
+   * <pre>
+   * requests under which servers broke off lately
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CrashSuspect suspects = 13;</code>
+   */
+  org.celerygw.core.gen.peers.CrashSuspectOrBuilder getSuspectsOrBuilder(
+      int index);
 }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -13,8 +13,10 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.QueueLength;
@@ -69,6 +71,7 @@
     private final Scheduler scheduler;
     private final ServerList servers;
     private final Permits permits;
+    private final Quarantine quarantine;
     private final ServerSelector serverSelector;
     private final OriginPools originPools;
     private final EngineQueue engineQueue;
@@ -110,6 +113,7 @@
         this.adapter = factory.create(loop, clock);
         this.originPools = new OriginPools(loop, clock);
         this.servers = new ServerList(originPools::remove);
+        this.quarantine = new Quarantine(settings.host());
         this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
         this.serverSelector = new ServerSelector(settings.zone(), permits::request);
         PrometheusRegistry registry = new PrometheusRegistry();
@@ -161,7 +165,7 @@
                 new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
                         .nextDouble());
         metrics.registerQueue(engineQueue);
-        metrics.registerLimits(servers, permits, clock);
+        metrics.registerServerProtection(servers, permits, quarantine, clock);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
@@ -172,6 +176,7 @@
                 engineQueue,
                 originPools,
                 programStore,
+                quarantine,
                 new RequestLog(registry),
                 peers::loadChanged);
         this.cleaner =
@@ -395,6 +400,19 @@
             engineQueue.startedElsewhere(programHashes);
         }
 
+        @Override
+        public List<CrashSuspect> crashSuspects() {
+            return quarantine.suspectsToTell(clock.nowMs());
+        }
+
+        @Override
+        public void onCrashSuspects(String peer, List<CrashSuspect> suspects) {
+            quarantine.addTold(suspects, clock.nowMs(), hash -> LOG.atWarn()
+                    .addKeyValue("content", Long.toHexString(hash))
+                    .addKeyValue("peer", peer)
+                    .log("quarantine: a peer tells of a request under which servers have crashed"));
+        }
+
         @Override
         public boolean leaving() {
             return stopping;
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -12,6 +12,7 @@
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
@@ -70,8 +71,12 @@
                         .sum());
     }
 
-    /** Registers the metrics of the servers' request limits. */
-    void registerLimits(ServerList servers, Permits permits, Clock clock) {
+    /** Registers the metrics of the servers' request limits and of the requests under which servers have crashed. */
+    void registerServerProtection(ServerList servers, Permits permits, Quarantine quarantine, Clock clock) {
+        registerGauge(
+                "celerygw_quarantined_requests",
+                "Requests and paths that are not sent since servers have crashed under them",
+                quarantine::size);
         registerGauge(
                 "celerygw_limited_servers",
                 "Backend servers with a request limit, as known to this host",
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -46,7 +46,7 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final ProgramTurn turn;
-    private final CrashGuard crashGuard = new CrashGuard(this);
+    private final CrashGuard crashGuard;
     private final long timeoutMs;
     private final long deadlineMs;
     private final Set<String> triedServerIds = new HashSet<>();
@@ -81,6 +81,7 @@
         this.timeoutMs =
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
         this.deadlineMs = request.receivedAtMs() + timeoutMs;
+        this.crashGuard = new CrashGuard(this);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
     }
@@ -88,7 +89,7 @@
     void start() {
         forwarder.scheduler.schedule(Math.max(1, remainingMs()), this::onDeadline);
         clientResponse.onClientDisconnect(this::onClientDisconnect);
-        turn.prepare();
+        crashGuard.refusal().ifPresentOrElse(this::refuse, turn::prepare);
     }
 
     long remainingMs() {
@@ -163,7 +164,10 @@
         if (ended || pendingRequest != null || engineWait != null) {
             return;
         }
-        if (service == null || remainingMs() <= MIN_REMAINING_TO_SEND_MS || sendCount >= MAX_SENDS) {
+        Optional<Forwarder.Refusal> quarantined = crashGuard.refusal();
+        if (quarantined.isPresent()) {
+            endQuarantined(quarantined.get());
+        } else if (service == null || remainingMs() <= MIN_REMAINING_TO_SEND_MS || sendCount >= MAX_SENDS) {
             endWithoutServer();
         } else if (service.runsEngines()) {
             engineWait = new EngineWait(this);
@@ -177,7 +181,7 @@
     void onEngineSelected(TrackedServer server, long waitedMs) {
         engineWait = null;
         queuedMs += waitedMs;
-        sendTo(server);
+        crashGuard.refusal().ifPresentOrElse(this::endQuarantined, () -> sendTo(server));
     }
 
     /** Called when this request will not get an engine in time. */
@@ -190,10 +194,19 @@
         }
     }
 
+    private void endQuarantined(Forwarder.Refusal refusal) {
+        if (possibleExecutions > 0) {
+            fail(502, refusal.reason());
+        } else {
+            refuse(refusal);
+        }
+    }
+
     private void sendTo(TrackedServer server) {
         currentServer = server;
         sendCount++;
         possibleExecutions++;
+        crashGuard.onSend();
         forwarder.requestStarted(server, service);
         forwarder.requestLog.logSend(this, server.entry().id(), server.load());
         sentMs = forwarder.clock.nowMs();
@@ -503,11 +516,7 @@
         public void onFailure(boolean sent) {
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
-                forwarder.requestLog.logBrokenOff(
-                        Exchange.this,
-                        crashGuard.fingerprint(),
-                        server.entry().id(),
-                        responseWriter.receivedEvents() - eventsBefore);
+                crashGuard.onBrokenOff(server, responseWriter.receivedEvents() - eventsBefore);
                 onResponseLost(server, "broken");
             } else {
                 onNotExecuted(server, "unreachable");
@@ -535,6 +544,7 @@
             } else {
                 server.recordSuccess(forwarder.clock.nowMs());
             }
+            crashGuard.onAnswered();
             endSend(server, "whole");
             if (service != null && service.runsEngines() && status < SERVER_ERROR) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ResponseTimeAverages;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteTable;
@@ -39,6 +40,7 @@
     final ProgramStore programStore;
     final RequestLog requestLog;
     final EngineQueue engineQueue;
+    final Quarantine quarantine;
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
@@ -57,8 +59,10 @@
      * @param engineQueue decides which request to an engine starts, waits or is refused
      * @param originPools the connections to the backend servers
      * @param programStore reserves and settles token budgets and stores turns
+     * @param quarantine the requests under which servers have crashed
      * @param requestLog logs and counts sends and ends of requests
-     * @param onLoadChanged called when a request to an engine has started or ended
+     * @param onLoadChanged called when the peers should hear from this host soon: a request to an engine has started or
+     *     ended, or a server has crashed
      */
     public Forwarder(
             Clock clock,
@@ -70,6 +74,7 @@
             EngineQueue engineQueue,
             OriginPools originPools,
             ProgramStore programStore,
+            Quarantine quarantine,
             RequestLog requestLog,
             Runnable onLoadChanged) {
         this.clock = clock;
@@ -81,6 +86,7 @@
         this.engineQueue = engineQueue;
         this.originPools = originPools;
         this.programStore = programStore;
+        this.quarantine = quarantine;
         this.requestLog = requestLog;
         this.onLoadChanged = onLoadChanged;
     }
@@ -151,6 +157,11 @@
         }
     }
 
+    /** Lets the peers know of a request under which a server has crashed. */
+    void reportSuspects() {
+        onLoadChanged.run();
+    }
+
     private void reportLoadChange(@Nullable Service service) {
         if (service != null && service.runsEngines()) {
             onLoadChanged.run();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -72,7 +72,7 @@
     }
 
     /** Logs by what it asks for a request whose server broke off, so that its attempts at all hosts can be compared. */
-    void logBrokenOff(Exchange exchange, Fingerprint fingerprint, String serverId, int events) {
+    void logBrokenOff(Exchange exchange, Fingerprint fingerprint, String serverId, int events, double crashes) {
         LOG.atWarn()
                 .addKeyValue("request", exchange.metadata.id())
                 .addKeyValue("server", serverId)
@@ -80,6 +80,7 @@
                 .addKeyValue("content", Long.toHexString(fingerprint.content()))
                 .addKeyValue("runMs", exchange.currentSendMs())
                 .addKeyValue("events", events)
+                .addKeyValue("crashes", crashes)
                 .log("route: a server broke off");
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -58,7 +58,7 @@
     private final FleetLoadEstimator fleetLoadEstimator = new FleetLoadEstimator(ROUND_SIZE, ROUND_INTERVAL_MS);
     private final DigestTargets targets = new DigestTargets(ROUND_SIZE);
     private final BiConsumer<Integer, Integer> onGroup;
-    private final Consumer<List<Integer>> onStarted;
+    private final Consumer<Digest> onDigest;
     private final Permits permits;
     private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
@@ -79,7 +79,7 @@
             PeerTable peers,
             LocalDigest localDigest,
             BiConsumer<Integer, Integer> onGroup,
-            Consumer<List<Integer>> onStarted,
+            Consumer<Digest> onDigest,
             Permits permits) {
         this.clock = clock;
         this.scheduler = scheduler;
@@ -89,7 +89,7 @@
         this.peers = peers;
         this.localDigest = localDigest;
         this.onGroup = onGroup;
-        this.onStarted = onStarted;
+        this.onDigest = onDigest;
         this.permits = permits;
     }
 
@@ -214,7 +214,7 @@
             boolean counted = clock.nowMs() - peer.lastSeenAtMs < FleetLoadEstimator.MAX_DIGEST_AGE_MS;
             fleetLoadEstimator.applyChange(
                     counted ? peer.digest : null, digest, group.peers().contains(peer), servers);
-            onStarted.accept(digest.getStartedList());
+            onDigest.accept(digest);
             FleetLoadEstimator.applyLimits(digest, servers, clock.nowMs()).forEach(server -> LOG.atWarn()
                     .addKeyValue("server", server.entry().id())
                     .addKeyValue("limitPerS", server.limit().perS(clock.nowMs()))
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
@@ -86,6 +87,21 @@
          */
         Map<String, QueueLength> waitingByService();
 
+        /**
+         * Returns the requests under which servers have crashed, as known to this host.
+         *
+         * @return the suspects to tell the peers
+         */
+        List<CrashSuspect> crashSuspects();
+
+        /**
+         * Called with the suspects that another host tells.
+         *
+         * @param peer the other host's name
+         * @param suspects its suspects
+         */
+        void onCrashSuspects(String peer, List<CrashSuspect> suspects);
+
         /**
          * Returns whether this host is stopping.
          *
@@ -157,7 +173,7 @@
                 peers,
                 this::localDigest,
                 localState::onGroup,
-                localState::startedElsewhere,
+                this::onDigest,
                 permits);
         seeds.forEach(peers::add);
     }
@@ -167,6 +183,11 @@
         digests.loadChanged();
     }
 
+    private void onDigest(Digest digest) {
+        localState.startedElsewhere(digest.getStartedList());
+        localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
+    }
+
     private Digest.Builder localDigest() {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
@@ -174,7 +195,8 @@
                 .setStoreMs(health.smoothedLatencyMs())
                 .setLeaving(localState.leaving())
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
-                .addAllStarted(localState.recentlyStarted());
+                .addAllStarted(localState.recentlyStarted())
+                .addAllSuspects(localState.crashSuspects());
     }
 
     /**
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
@@ -93,6 +94,7 @@
                 new EngineQueue(servers, serverSelector, service -> QueueLength.NONE, () -> 0.5),
                 originPools,
                 new ProgramStore(partitions, "host", clock, scheduler, 60_000, 1_000_000),
+                new Quarantine("host"),
                 new RequestLog(new PrometheusRegistry()),
                 () -> {});
         CountDownLatch listening = new CountDownLatch(1);
