Start no request that cannot be answered and stored before its deadline

A request that waits in the queue could start as late as the average response time before its deadline, which leaves half of such requests and the store's write at their end too little time: their streams were cut at the deadline. HostsTest.engineGetsNoMoreRequestsThanItsLimitFromAllHostsTogether met it in two of five runs (limited10: 3,987 ms in the queue, answered after 3 ms, 504 at 4,003 ms). Twice the average and 50 ms are reserved now; such a request is refused instead, with a time to come back. HostsTest and ForwarderTest pass.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -24,6 +24,8 @@
  */
 final class Exchange {
     private static final int MAX_SENDS = 6;
+    private static final long RESPONSE_TIME_FACTOR = 2;
+    private static final long STORE_TURN_MS = 50;
     private static final long RETRY_DELAY_MS = 15;
     private static final long PERMIT_POLL_INTERVAL_MS = 15;
     private static final long MIN_REMAINING_TO_SEND_MS = 20;
@@ -101,11 +103,12 @@
     }
 
     /**
-     * Returns the latest time at which a first send can still be answered by the deadline, given the route's average
-     * response time; at most half of the request's timeout is reserved for the response.
+     * Returns the latest time at which a first send can still be answered by the deadline. Twice the route's average
+     * response time and some time to store the turn are reserved for the response, at most half of the request's timeout.
      */
     long latestSendMs() {
-        return deadlineMs - Math.min(forwarder.responseTimes.averageMs(route), timeoutMs / 2);
+        long responseMs = RESPONSE_TIME_FACTOR * forwarder.responseTimes.averageMs(route) + STORE_TURN_MS;
+        return deadlineMs - Math.min(responseMs, timeoutMs / 2);
     }
 
     long elapsedMs() {
