--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -32,9 +32,6 @@
     private static final long NON_REPEATABLE_MAX_IDLE_MS = 1_500;
     private static final long REPEATABLE_MAX_IDLE_MS = 60_000;
     private static final long BUSY_RETRY_AFTER_MS = 150;
-    private static final long SAFE_MIN_SILENCE_MS = 250;
-    private static final long STREAM_START_MIN_SILENCE_MS = 1_500;
-    private static final long STREAM_SILENCE_MS = 1_000;
     private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final long STORE_RETRY_AFTER_MS = 300;
@@ -230,7 +227,7 @@
     /** Cancels the send when its server is silent for too long, provided that another attempt is allowed. */
     private void watchForSilence(OriginPool.@Nullable PendingRequest watched, TrackedServer server) {
         long silentMs = forwarder.clock.nowMs() - lastReceivedMs;
-        long maxSilenceMs = maxSilenceMs();
+        long maxSilenceMs = SilenceTimeouts.maxSilenceMs(route, responseWriter.streaming());
         if (ended || pendingRequest == null || pendingRequest != watched || possibleExecutions >= route.maxAttempts()) {
             return;
         }
@@ -244,16 +241,6 @@
         onResponseLost(server, "silent");
     }
 
-    /** Returns how long a server may send nothing before the send is cancelled, in ms. */
-    private long maxSilenceMs() {
-        if (route.kind() == RouteKind.SAFE) {
-            return Math.max(SAFE_MIN_SILENCE_MS, 3 * route.targetLatencyMs());
-        }
-        return responseWriter.streaming()
-                ? STREAM_SILENCE_MS
-                : Math.max(STREAM_START_MIN_SILENCE_MS, 6 * route.targetLatencyMs());
-    }
-
     /** Refuses the request; only valid when no server has executed it. */
     void refuse(Forwarder.Refusal refusal) {
         if (ended) {
@@ -370,7 +357,7 @@
         }
         if (pendingRequest != null
                 && currentServer != null
-                && forwarder.clock.nowMs() - lastReceivedMs > STREAM_SILENCE_MS) {
+                && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.poolFor(currentServer).closeIdle();
         }
         if (possibleExecutions > 0 || clientResponse.started()) {
@@ -440,30 +427,6 @@
         forwarder.requestLog.logSendEnd(this, server.entry().id(), outcome);
     }
 
-    /** How a backend server's response is handled. */
-    private enum Verdict {
-        /** The response is forwarded to the client. */
-        PASS,
-        /** The server states that it did not execute the request. */
-        NOT_RUN,
-        /** The server failed, and the request may be retried at another one. */
-        FAILED,
-        /** The response is invalid: a success without signature or with a content coding. */
-        UNSOUND
-    }
-
-    private Verdict classify(ResponseMetadata response) {
-        if (response.notExecuted()) {
-            return Verdict.NOT_RUN;
-        }
-        if (response.isSuccessful()) {
-            return response.signed() && !response.encoded() ? Verdict.PASS : Verdict.UNSOUND;
-        }
-        boolean mayRetry =
-                route.repeatable() && possibleExecutions < route.maxAttempts() && response.status() >= SERVER_ERROR;
-        return mayRetry || responseWriter.streaming() ? Verdict.FAILED : Verdict.PASS;
-    }
-
     /** Handles the response to one send. */
     private final class BackendResponseHandler implements ResponseHandler {
         private final TrackedServer server;
@@ -480,7 +443,10 @@
         public void onHead(HttpResponse head) {
             lastReceivedMs = forwarder.clock.nowMs();
             ResponseMetadata response = forwarder.dialect.parseResponse(head);
-            verdict = classify(response);
+            verdict = Verdict.of(
+                    response,
+                    route.repeatable() && possibleExecutions < route.maxAttempts(),
+                    responseWriter.streaming());
             status = response.status();
             recordLimit(response);
             if (!ended && verdict == Verdict.PASS) {
