Spread the requests of limited servers over all other servers

Cause: a request whose engine needs a permit went to the engines that are left in its group or zone, of which there may be one; the free room of a group whose engines are limited counted as none; and the mean load, which bounds the load of one engine, counted the limited ones, so that requests lost their own engine.

Change: such a request goes to any engine of the fleet that may be sent one, by rendezvous weight under the load limit; a group's part of all free room counts; the load limit comes from engines without a limit. ServerSelectorTest.requestsOfLimitedEnginesSpreadOverAllOthers shows it.

--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -78,21 +78,51 @@
             Set<String> excludedIds,
             long nowMs) {
         List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
-        Optional<TrackedServer> first = selectEngine(servers, candidates, affinityKey, previousServer);
+        double loadLimit = loadLimit(candidates, nowMs);
+        Optional<TrackedServer> first = selectEngine(servers, candidates, affinityKey, previousServer, loadLimit);
         if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
             return first;
         }
         onPermitNeeded.accept(first.get());
-        return selectEngine(servers, allowed(candidates, nowMs), affinityKey, previousServer);
+        return selectOtherEngine(allowed(candidates, nowMs), affinityKey, previousServer, loadLimit);
+    }
+
+    /**
+     * Selects an engine for a request whose own engine needs a permit: any of the fleet, in whatever zone. The engines of
+     * a group or a zone may nearly all have a limit, and the others then take the requests of all groups evenly.
+     */
+    private Optional<TrackedServer> selectOtherEngine(
+            List<TrackedServer> allowed, String affinityKey, String previousServer, double loadLimit) {
+        List<TrackedServer> withRoom =
+                allowed.stream().filter(server -> room(server) > 0).toList();
+        return withRoom.stream()
+                .filter(server -> server.entry().id().equals(previousServer) && server.load() < 2 * loadLimit)
+                .findFirst()
+                .or(() -> withRoom.stream()
+                        .filter(server -> server.load() < loadLimit)
+                        .max(Comparator.comparing(server -> rendezvousWeight(server, affinityKey))))
+                .or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
+    }
+
+    /** Engines with a request limit have little load; it says nothing about how much the others should have. */
+    private static double loadLimit(List<TrackedServer> candidates, long nowMs) {
+        double meanLoad = candidates.stream()
+                .filter(server -> !server.limit().isInForce(nowMs))
+                .mapToInt(TrackedServer::load)
+                .average()
+                .orElse(0);
+        return meanLoad * MAX_LOAD_FACTOR + LOAD_ALLOWANCE_REQUESTS;
     }
 
     private Optional<TrackedServer> selectEngine(
-            List<TrackedServer> servers, List<TrackedServer> candidates, String affinityKey, String previousServer) {
+            List<TrackedServer> servers,
+            List<TrackedServer> candidates,
+            String affinityKey,
+            String previousServer,
+            double loadLimit) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        double meanLoad = candidates.stream().mapToInt(TrackedServer::load).sum() / (double) candidates.size();
-        double loadLimit = meanLoad * MAX_LOAD_FACTOR + LOAD_ALLOWANCE_REQUESTS;
         Optional<TrackedServer> previous = candidates.stream()
                 .filter(server -> server.entry().id().equals(previousServer))
                 .filter(server -> server.load() < 2 * loadLimit && room(server) > 0)
@@ -153,7 +183,8 @@
 
     /**
      * Returns how many requests the usable engines of a service without a request limit can take in addition to those in
-     * flight. Counts the engines that this host's group uses if the zone has several groups.
+     * flight. Counts the engines that this host's group uses if the zone has several groups; if some of these have a
+     * limit, the group's part of the room at all engines.
      *
      * @param servers the service's servers
      * @param nowMs the current time, in ms
@@ -162,12 +193,15 @@
     public int freeRoom(List<TrackedServer> servers, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, Set.of(), nowMs);
         Set<TrackedServer> subset = subset(servers, candidates);
+        boolean limited = subset.stream().anyMatch(server -> server.limit().isInForce(nowMs));
         long sum = candidates.stream()
-                .filter(server -> groupCount == 1 || subset.contains(server))
+                .filter(server -> groupCount == 1 || limited || subset.contains(server))
                 .filter(server -> !server.limit().isInForce(nowMs))
                 .mapToLong(server -> Math.max(0, room(server)))
                 .sum();
-        return (int) Math.min(Integer.MAX_VALUE, sum);
+        long ownPart =
+                groupCount > 1 && limited ? (sum * subset.size() + candidates.size() - 1) / candidates.size() : sum;
+        return (int) Math.min(Integer.MAX_VALUE, ownPart);
     }
 
     /**
--- a/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
@@ -5,6 +5,8 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -55,6 +57,32 @@
         }
     }
 
+    /** Guards against the failure that all requests of limited engines go to the few others of the same group or zone. */
+    @Test
+    public void requestsOfLimitedEnginesSpreadOverAllOthers() {
+        Set<String> asked = new HashSet<>();
+        selector = new ServerSelector("a", server -> asked.add(server.entry().id()));
+        selector.setGroup(0, 3);
+        List<String> limited = List.of("a0", "a2", "a3", "a4");
+        limited.forEach(id -> limit(id).recordResponse(1, NOW_MS));
+        Map<String, Long> counts = IntStream.range(0, 1_000)
+                .mapToObj(i -> selector.selectEngine(engines(), "program" + i, "", Set.of(), NOW_MS)
+                        .orElseThrow()
+                        .entry()
+                        .id())
+                .collect(Collectors.groupingBy(id -> id, Collectors.counting()));
+        assertEquals(asked, Set.of("a0"));
+        assertEquals(counts.keySet(), Set.of("a1", "a5", "b0", "b1", "b2"));
+        counts.forEach((id, count) -> assertTrue("a1".equals(id) || count < 150, id + " got " + count));
+        assertEquals(selector.freeRoom(engines(), NOW_MS), (5 * (SLOTS + 1) * 2 + 8) / 9);
+        limit("a0").grantPermit(NOW_MS, NOW_MS + 1);
+        assertTrue(selectedWhileIdle().contains("a0"));
+    }
+
+    private RequestLimit limit(String id) {
+        return Objects.requireNonNull(servers.byId(id)).limit();
+    }
+
     @Test
     public void groupWhoseEnginesAreLeavingUsesAllOthers() {
         selector.setGroup(0, 3);
