Send the requests under which servers crash only when there is a new one

While anything crashed, each digest carried up to 48 suspects, also those that tell a change of load up to 66 times a second.

--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
@@ -37,6 +38,7 @@
 import org.celerygw.gateway.net.HttpListener;
 import org.celerygw.gateway.peers.Peers;
 import org.celerygw.gateway.peers.StoreHealth;
+import org.celerygw.gateway.watch.RowFeed;
 import org.celerygw.gateway.watch.Watch;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -119,18 +121,9 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
-        this.configurationWatch = new Watch(
-                new HealthTrackingFeed(adapter.configurationFeed(), health),
-                clock,
-                scheduler,
-                () -> CONFIG_POLL_INTERVAL_MS,
-                new ConfigListener());
-        this.serverWatch = new Watch(
-                new HealthTrackingFeed(adapter.serverFeed(), health),
-                clock,
-                scheduler,
-                this::serverPollIntervalMs,
-                new ServerListener());
+        this.configurationWatch =
+                createWatch(adapter.configurationFeed(), health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
+        this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
         List<Table> partitions = adapter.partitions(settings.partitions()).stream()
                 .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
                 .toList();
@@ -178,13 +171,18 @@
                 programStore,
                 quarantine,
                 new RequestLog(registry),
-                peers::loadChanged);
+                peers::loadChanged,
+                peers::suspectsChanged);
         this.cleaner =
                 new ExpiredProgramCleaner(partitions, clock, settings.host().hashCode());
         configurationWatch.start();
         serverWatch.start();
     }
 
+    private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
+        return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
+    }
+
     /**
      * Starts a host.
      *
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -44,6 +44,7 @@
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
+    private final Runnable onSuspectsChanged;
     private int requestsInFlight;
     private boolean pollScheduled;
 
@@ -61,8 +62,8 @@
      * @param programStore reserves and settles token budgets and stores turns
      * @param quarantine the requests under which servers have crashed
      * @param requestLog logs and counts sends and ends of requests
-     * @param onLoadChanged called when the peers should hear from this host soon: a request to an engine has started or
-     *     ended, or a server has crashed
+     * @param onLoadChanged called when a request to an engine has started or ended
+     * @param onSuspectsChanged called when a server has crashed under a request
      */
     public Forwarder(
             Clock clock,
@@ -76,7 +77,8 @@
             ProgramStore programStore,
             Quarantine quarantine,
             RequestLog requestLog,
-            Runnable onLoadChanged) {
+            Runnable onLoadChanged,
+            Runnable onSuspectsChanged) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.dialect = dialect;
@@ -89,6 +91,7 @@
         this.quarantine = quarantine;
         this.requestLog = requestLog;
         this.onLoadChanged = onLoadChanged;
+        this.onSuspectsChanged = onSuspectsChanged;
     }
 
     @Override
@@ -159,7 +162,7 @@
 
     /** Lets the peers know of a request under which a server has crashed. */
     void reportSuspects() {
-        onLoadChanged.run();
+        onSuspectsChanged.run();
     }
 
     private void reportLoadChange(@Nullable Service service) {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -63,11 +63,13 @@
     private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
     private boolean changePending;
+    private boolean suspectsPending;
 
     /** Supplies the parts of the digest that do not concern the load. */
     @FunctionalInterface
     interface LocalDigest {
-        Digest.Builder create();
+        /** The suspects are many while servers crash, so that not each digest has them. */
+        Digest.Builder create(boolean withSuspects);
     }
 
     DigestExchange(
@@ -122,7 +124,7 @@
     void runRound() {
         group = HostGroup.of(peers.live().toList(), host, zone, p -> p.digest.getHost(), p -> p.digest.getZone());
         onGroup.accept(group.index(), group.count());
-        send(targets.nextRound(peers.all()));
+        send(targets.nextRound(peers.all()), true);
         List<ReceivedDigest> digests = peers.all().stream()
                 .filter(p -> !p.digest.getHost().isEmpty())
                 .map(p -> new ReceivedDigest(
@@ -137,18 +139,26 @@
             changePending = true;
             scheduler.schedule(CHANGE_DELAY_MS, () -> {
                 changePending = false;
-                send(group.peers());
+                boolean withSuspects = suspectsPending;
+                suspectsPending = false;
+                send(group.peers(), withSuspects);
             });
         }
     }
 
-    private void send(List<Peer> receivers) {
+    /** Called when a server has crashed under a request. */
+    void suspectsChanged() {
+        suspectsPending = true;
+        loadChanged();
+    }
+
+    private void send(List<Peer> receivers, boolean withSuspects) {
         Channel channel = socket;
         if (channel == null || receivers.isEmpty()) {
             return;
         }
         byte[] bytes = localDigest
-                .create()
+                .create(withSuspects)
                 .setHost(host)
                 .setZone(zone)
                 .setGrantsPermits(permits.grants())
@@ -169,7 +179,7 @@
 
     /** Sends the digest to the host of that name; does nothing if the host is not known. */
     void sendDigest(String receiver) {
-        peer(receiver).ifPresent(p -> send(List.of(p)));
+        peer(receiver).ifPresent(p -> send(List.of(p), true));
     }
 
     /** A host that was replaced may have registered twice; the address that was seen last is the present one. */
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -183,12 +183,17 @@
         digests.loadChanged();
     }
 
+    /** Sends the requests under which servers have crashed to the near peers soon; called when there is a new one. */
+    public void suspectsChanged() {
+        digests.suspectsChanged();
+    }
+
     private void onDigest(Digest digest) {
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
     }
 
-    private Digest.Builder localDigest() {
+    private Digest.Builder localDigest(boolean withSuspects) {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
@@ -196,7 +201,7 @@
                 .setLeaving(localState.leaving())
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
                 .addAllStarted(localState.recentlyStarted())
-                .addAllSuspects(localState.crashSuspects());
+                .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
     }
 
     /**
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -96,6 +96,7 @@
                 new ProgramStore(partitions, "host", clock, scheduler, 60_000, 1_000_000),
                 new Quarantine("host"),
                 new RequestLog(new PrometheusRegistry()),
+                () -> {},
                 () -> {});
         CountDownLatch listening = new CountDownLatch(1);
         HttpListener.start(loop, clock, "127.0.0.1", 0, forwarder).onSuccess(l -> {
