Let a host that takes over for a silent one issue half of a request limit

What was seen: PermitsTest with 50 seeds failed in 25 of 600 cases: up to 29 requests in 4 s where 20 are allowed, mostly 21, nearly all with 95 hosts (mvn -pl core test -Dtest=PermitsTest -Dcelerygw.seeds=50).

Cause: three replies lost in a row, or a cut, make a host take the one before it for dead. It then issued the whole limit, beside the other one, until it heard of it, which takes up to 6.4 s in a large fleet; after a cut it went on although the link had healed.

Change: it issues half of the limit for 10 s after the last lost reply, longer than any host needs to hear of another one, so that both stay within one and a half times the limit; and a host that hears one that it took for silent asks all of them again, since it may have been cut off itself.

Three issuing hosts at once are not excluded.

--- a/core/src/main/java/org/celerygw/core/limits/Permits.java
+++ b/core/src/main/java/org/celerygw/core/limits/Permits.java
@@ -33,6 +33,8 @@
     private static final long ELSEWHERE_RETRY_MS = 300;
     private static final long MAX_RETRY_MS = 2_000;
     private static final int ANNOUNCED_HOSTS = 2;
+    /** Longer than a host needs to hear of each other one in a large fleet, in ms. */
+    private static final long GONE_AFTER_MS = 10_000;
 
     private final String host;
     private final Clock clock;
@@ -41,7 +43,7 @@
     private final Network network;
     private final PermitIssuer issuer = new PermitIssuer();
     private final Map<Long, Request> requests = new HashMap<>();
-    private final Map<String, Integer> timeoutsByHost = new HashMap<>();
+    private final Map<String, Silence> silences = new HashMap<>();
     private long nextRequestId;
     private long grantedPermits;
     private long refusedPermits;
@@ -81,6 +83,9 @@
 
     private record Request(String server, String host, long sentAtMs) {}
 
+    /** Requests in a row that a host has not answered, and the time of the last. */
+    private record Silence(int timeouts, long lastMs) {}
+
     /**
      * Creates the permits of a host that has just started.
      *
@@ -185,18 +190,23 @@
     public void onReply(PermitReply reply) {
         Request request = requests.remove(reply.getId());
         if (request != null) {
-            timeoutsByHost.remove(request.host());
+            onHostAlive(request.host());
             apply(request.server(), reply.toBuilder());
         }
     }
 
     /**
-     * Records a sign of life of another host.
+     * Records a sign of life of another host. If that host was silent, it may have been this one that was cut off, so that
+     * the other silent ones are asked again, too.
      *
      * @param name the host's name
      */
     public void onHostAlive(String name) {
-        timeoutsByHost.remove(name);
+        if (isSilent(name)) {
+            silences.clear();
+        } else {
+            silences.remove(name);
+        }
     }
 
     /**
@@ -237,7 +247,20 @@
     }
 
     private boolean isSilent(String name) {
-        return timeoutsByHost.getOrDefault(name, 0) >= MAX_TIMEOUTS;
+        Silence silence = silences.get(name);
+        return silence != null && silence.timeouts() >= MAX_TIMEOUTS;
+    }
+
+    /**
+     * Returns whether a host that comes before this one has been silent for a short time only. It may be alive and issue
+     * permits as well, so that this host issues half of them: together they stay within one and a half times the limit.
+     */
+    private boolean issuesHalf(String server) {
+        long ownWeight = weight(server, host);
+        return network.grantingHosts().stream()
+                .filter(this::isSilent)
+                .filter(name -> weight(server, name) > ownWeight)
+                .anyMatch(name -> clock.nowMs() - silences.get(name).lastMs() < GONE_AFTER_MS);
     }
 
     private PermitReply.Builder issue(String server, double requestedLimitPerS, boolean unused) {
@@ -253,7 +276,7 @@
         double limitPerS = known == null
                 ? requestedLimitPerS
                 : Math.min(requestedLimitPerS, known.limit().perS(nowMs));
-        long waitMs = issuer.issue(server, limitPerS, unused, nowMs);
+        long waitMs = issuer.issue(server, issuesHalf(server) ? limitPerS / 2 : limitPerS, unused, nowMs);
         boolean granted = waitMs <= PermitIssuer.MAX_WAIT_MS;
         return PermitReply.newBuilder()
                 .setResult(granted ? PermitResult.GRANTED : PermitResult.LATER)
@@ -288,7 +311,10 @@
         lostReplies++;
         // A timer that fires late shows that this host was slow, not the other one.
         if (clock.nowMs() - request.sentAtMs() < 2 * REPLY_TIMEOUT_MS) {
-            timeoutsByHost.merge(request.host(), 1, Integer::sum);
+            silences.merge(
+                    request.host(),
+                    new Silence(1, clock.nowMs()),
+                    (before, last) -> new Silence(before.timeouts() + 1, last.lastMs()));
         }
     }
 
--- a/core/src/test/java/org/celerygw/core/limits/PermitsTest.java
+++ b/core/src/test/java/org/celerygw/core/limits/PermitsTest.java
@@ -12,6 +12,7 @@
  * keeps to the limit by itself or not at all.
  */
 public final class PermitsTest {
+    private static final int FIRST_SEED = Integer.getInteger("celerygw.firstSeed", 1);
     private static final int SEEDS = Integer.getInteger("celerygw.seeds", 1);
     private static final double LIMIT_PER_S = 2.5;
     /** One and a half times what the limit allows in 4 s, and 5 requests. */
@@ -25,7 +26,7 @@
 
     @DataProvider
     public static Object[][] fleets() {
-        return IntStream.rangeClosed(1, SEEDS)
+        return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .boxed()
                 .flatMap(seed -> IntStream.of(1, 10, 95).mapToObj(hosts -> new Object[] {hosts, (long) seed}))
                 .toArray(Object[][]::new);
