--- a/core/src/test/java/org/celerygw/core/limits/SimulatedFleet.java
+++ b/core/src/test/java/org/celerygw/core/limits/SimulatedFleet.java
@@ -109,7 +109,7 @@
             notGranting = new HashSet<>();
             list = new ServerList(s -> {});
             IntStream.range(0, servers)
-                    .forEach(i -> list.put(new BackendServer("s" + i, "s", "10.0.0.1", i, "z", 8, false, 1)));
+                    .forEach(i -> list.put(new BackendServer("s" + i, "s", "10.0.0.1", i, "z", "v1", 8, false, 1)));
             permits =
                     new Permits(name, () -> nowMs, (delayMs, task) -> run(started, nowMs + delayMs, task), list, this);
             run(started, nowMs + random.nextInt((int) ROUND_MS), this::round);
--- a/core/src/test/java/org/celerygw/core/peers/FleetLoadEstimatorTest.java
+++ b/core/src/test/java/org/celerygw/core/peers/FleetLoadEstimatorTest.java
@@ -24,7 +24,7 @@
     @BeforeMethod
     public void addServer() {
         servers = new ServerList(t -> {});
-        servers.put(new BackendServer("s", "e", "127.0.0.1", 1, "z", 8, false, 1));
+        servers.put(new BackendServer("s", "e", "127.0.0.1", 1, "z", "v1", 8, false, 1));
         server = servers.byId("s");
     }
 
--- a/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
@@ -35,7 +35,7 @@
         refused.clear();
         peersWaiting = QueueLength.NONE;
         servers = new ServerList(s -> {});
-        servers.put(new BackendServer("i1", "e", "127.0.0.1", 1, "z", ROOM - 1, false, 1));
+        servers.put(new BackendServer("i1", "e", "127.0.0.1", 1, "z", "v1", ROOM - 1, false, 1));
         engine = servers.byId("i1");
         queue = new EngineQueue(servers, new ServerSelector("z", server -> {}), service -> peersWaiting, () -> 0.5);
     }
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -277,7 +277,7 @@
         IntStream.range(0, options.engines()).forEach(i -> {
             engines.put("e" + i, new Engine(options.slots()));
             hosts.forEach(h -> h.servers.put(
-                    new BackendServer("e" + i, "e", "127.0.0.1", 1, "z" + i % 3, options.slots(), false, 1)));
+                    new BackendServer("e" + i, "e", "127.0.0.1", 1, "z" + i % 3, "v1", options.slots(), false, 1)));
         });
         hosts.forEach(h -> at(ROUND_MS * random.nextDouble(), h::runRound));
     }
--- a/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
@@ -121,6 +121,6 @@
     }
 
     private static BackendServer server(String id, long bornMs, boolean draining) {
-        return new BackendServer(id, "s", "127.0.0.1", 80, "z", 8, draining, bornMs);
+        return new BackendServer(id, "s", "127.0.0.1", 80, "z", "v1", 8, draining, bornMs);
     }
 }
--- a/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerSelectorTest.java
@@ -29,7 +29,7 @@
     }
 
     private void put(String id, String zone, boolean draining) {
-        servers.put(new BackendServer(id, "e", "127.0.0.1", 1, zone, SLOTS, draining, 1));
+        servers.put(new BackendServer(id, "e", "127.0.0.1", 1, zone, "v1", SLOTS, draining, 1));
     }
 
     private List<TrackedServer> engines() {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -208,7 +208,7 @@
         possibleExecutions++;
         crashGuard.onSend();
         forwarder.requestStarted(server, service);
-        forwarder.requestLog.logSend(this, server.entry().id(), server.load());
+        forwarder.requestLog.logSend(this, server);
         sentMs = forwarder.clock.nowMs();
         lastReceivedMs = sentMs;
         pendingRequest = forwarder
@@ -334,11 +334,16 @@
         return route.repeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
     }
 
+    /** Returns the id of the last event of the stream that the client has or is about to get; negative if there is none. */
+    long eventsBefore() {
+        return Math.max(responseWriter.lastEventId(), metadata.lastEventId());
+    }
+
     private OriginRequest originRequest(TrackedServer server) {
         HttpHeaders headers = Headers.copy(request.headers(), forwarder.dialect::isForwardable);
-        long lastEventId = Math.max(responseWriter.lastEventId(), metadata.lastEventId());
         forwarder.dialect.addForwardingHeaders(
-                headers, new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), lastEventId));
+                headers,
+                new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), eventsBefore()));
         return new OriginRequest(request.method(), request.uri(), headers, turn.requestBody());
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.celerygw.core.quarantine.Fingerprint;
+import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,14 +47,17 @@
                 .register(registry);
     }
 
-    void logSend(Exchange exchange, String serverId, int serverLoad) {
+    void logSend(Exchange exchange, TrackedServer server) {
         LOG.atInfo()
                 .addKeyValue("request", exchange.metadata.id())
                 .addKeyValue("program", exchange.metadata.program())
                 .addKeyValue("route", exchange.route.name())
                 .addKeyValue("configVersion", exchange.routes.version())
-                .addKeyValue("server", serverId)
-                .addKeyValue("serverLoad", serverLoad)
+                .addKeyValue("server", server.entry().id())
+                .addKeyValue("serverVersion", server.entry().softwareVersion())
+                .addKeyValue("serverLoad", server.load())
+                .addKeyValue("eventsBefore", exchange.eventsBefore())
+                .addKeyValue("resumes", exchange.metadata.resumedAttempt())
                 .addKeyValue("queuedMs", exchange.queuedMs())
                 .addKeyValue("leftMs", exchange.remainingMs())
                 .addKeyValue("programLeftMs", exchange.metadata.programTimeoutMs())
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
@@ -14,6 +14,8 @@
  * @param budgetTokens the token budget for the output of all turns of the program; negative when not specified
  * @param maxTokens the maximum number of tokens that this request generates; 0 when not specified
  * @param lastEventId the id of the last event that the client received; negative to stream from the first event
+ * @param resumedAttempt the id of the client attempt that brought the first event of the stream to resume; empty when not
+ *     specified
  */
 public record RequestMetadata(
         String id,
@@ -25,7 +27,17 @@
         String previousTurn,
         long budgetTokens,
         long maxTokens,
-        long lastEventId) {
+        long lastEventId,
+        String resumedAttempt) {
+    /**
+     * Returns whether the client resumes a stream of which it has received events.
+     *
+     * @return true if the request names the last event received
+     */
+    public boolean resumesStream() {
+        return lastEventId >= 0;
+    }
+
     /**
      * Returns whether the request is a turn of a program with a token budget.
      *
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderTest.java
@@ -512,7 +512,7 @@
         CountDownLatch added = new CountDownLatch(1);
         loop.execute(() -> {
             servers.put(new BackendServer(
-                    "i" + openServers.size(), "s", "127.0.0.1", server.port(), "z", ENGINE_SLOTS, false, 1));
+                    "i" + openServers.size(), "s", "127.0.0.1", server.port(), "z", "v1", ENGINE_SLOTS, false, 1));
             added.countDown();
         });
         assertTrue(added.await(5, TimeUnit.SECONDS));
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -19,7 +19,8 @@
                 headers.get("previous", ""),
                 Long.parseLong(headers.get("budget", "-1")),
                 Long.parseLong(headers.get("max", "0")),
-                Long.parseLong(headers.get("last-event", "-1")));
+                Long.parseLong(headers.get("last-event", "-1")),
+                headers.get("resumes", ""));
     }
 
     @Override
