--- a/core/src/main/java/org/celerygw/core/gen/turns/OpenTurn.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/OpenTurn.java
@@ -29,6 +29,7 @@
   }
   private OpenTurn() {
     turn_ = "";
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -107,6 +108,53 @@
     return maxTokens_;
   }
 
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <pre>
+   * of the backend server that the turn's stream begins at; empty if not known
+   * </pre>
+   *
+   * <code>string software_version = 3;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * of the backend server that the turn's stream begins at; empty if not known
+   * </pre>
+   *
+   * <code>string software_version = 3;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -127,6 +175,9 @@
     if (maxTokens_ != 0L) {
       output.writeInt64(2, maxTokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -143,6 +194,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, maxTokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, softwareVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -162,6 +216,8 @@
         .equals(other.getTurn())) return false;
     if (getMaxTokens()
         != other.getMaxTokens()) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,6 +234,8 @@
     hash = (37 * hash) + MAX_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getMaxTokens());
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -311,6 +369,7 @@
       bitField0_ = 0;
       turn_ = "";
       maxTokens_ = 0L;
+      softwareVersion_ = "";
       return this;
     }
 
@@ -350,6 +409,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.maxTokens_ = maxTokens_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -372,6 +434,11 @@
       if (other.getMaxTokens() != 0L) {
         setMaxTokens(other.getMaxTokens());
       }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -408,6 +475,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -549,6 +621,98 @@
       return this;
     }
 
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * of the backend server that the turn's stream begins at; empty if not known
+     * </pre>
+     *
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * of the backend server that the turn's stream begins at; empty if not known
+     * </pre>
+     *
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * of the backend server that the turn's stream begins at; empty if not known
+     * </pre>
+     *
+     * <code>string software_version = 3;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the backend server that the turn's stream begins at; empty if not known
+     * </pre>
+     *
+     * <code>string software_version = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the backend server that the turn's stream begins at; empty if not known
+     * </pre>
+     *
+     * <code>string software_version = 3;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.turns.OpenTurn)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/turns/OpenTurnOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/OpenTurnOrBuilder.java
@@ -35,4 +35,24 @@
    * @return The maxTokens.
    */
   long getMaxTokens();
+
+  /**
+   * <pre>
+   * of the backend server that the turn's stream begins at; empty if not known
+   * </pre>
+   *
+   * <code>string software_version = 3;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <pre>
+   * of the backend server that the turn's stream begins at; empty if not known
+   * </pre>
+   *
+   * <code>string software_version = 3;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/core/src/main/java/org/celerygw/core/gen/turns/ProgramRow.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/ProgramRow.java
@@ -33,6 +33,7 @@
   }
   private ProgramRow() {
     open_ = java.util.Collections.emptyList();
+    streams_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -144,6 +145,62 @@
     return keepUntilMs_;
   }
 
+  public static final int STREAMS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.celerygw.core.gen.turns.StreamVersion> streams_;
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.celerygw.core.gen.turns.StreamVersion> getStreamsList() {
+    return streams_;
+  }
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.celerygw.core.gen.turns.StreamVersionOrBuilder> 
+      getStreamsOrBuilderList() {
+    return streams_;
+  }
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  @java.lang.Override
+  public int getStreamsCount() {
+    return streams_.size();
+  }
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.turns.StreamVersion getStreams(int index) {
+    return streams_.get(index);
+  }
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.turns.StreamVersionOrBuilder getStreamsOrBuilder(
+      int index) {
+    return streams_.get(index);
+  }
+
+  public static final int STREAMS_DROPPED_FIELD_NUMBER = 5;
+  private boolean streamsDropped_ = false;
+  /**
+   * <pre>
+   * older streams were removed from the list because there were too many
+   * </pre>
+   *
+   * <code>bool streams_dropped = 5;</code>
+   * @return The streamsDropped.
+   */
+  @java.lang.Override
+  public boolean getStreamsDropped() {
+    return streamsDropped_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -167,6 +224,12 @@
     if (keepUntilMs_ != 0L) {
       output.writeInt64(3, keepUntilMs_);
     }
+    for (int i = 0; i < streams_.size(); i++) {
+      output.writeMessage(4, streams_.get(i));
+    }
+    if (streamsDropped_ != false) {
+      output.writeBool(5, streamsDropped_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -193,6 +256,19 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, keepUntilMs_);
     }
+
+        {
+          final int count = streams_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(streams_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (streamsDropped_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, streamsDropped_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -214,6 +290,10 @@
         .equals(other.getOpenList())) return false;
     if (getKeepUntilMs()
         != other.getKeepUntilMs()) return false;
+    if (!getStreamsList()
+        .equals(other.getStreamsList())) return false;
+    if (getStreamsDropped()
+        != other.getStreamsDropped()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -235,6 +315,13 @@
     hash = (37 * hash) + KEEP_UNTIL_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getKeepUntilMs());
+    if (getStreamsCount() > 0) {
+      hash = (37 * hash) + STREAMS_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamsList().hashCode();
+    }
+    hash = (37 * hash) + STREAMS_DROPPED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStreamsDropped());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -379,6 +466,14 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       keepUntilMs_ = 0L;
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+      } else {
+        streams_ = null;
+        streamsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      streamsDropped_ = false;
       return this;
     }
 
@@ -421,6 +516,15 @@
       } else {
         result.open_ = openBuilder_.build();
       }
+      if (streamsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          streams_ = java.util.Collections.unmodifiableList(streams_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.streams_ = streams_;
+      } else {
+        result.streams_ = streamsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.celerygw.core.gen.turns.ProgramRow result) {
@@ -431,6 +535,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.keepUntilMs_ = keepUntilMs_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.streamsDropped_ = streamsDropped_;
+      }
     }
 
     @java.lang.Override
@@ -477,6 +584,35 @@
       if (other.getKeepUntilMs() != 0L) {
         setKeepUntilMs(other.getKeepUntilMs());
       }
+      if (streamsBuilder_ == null) {
+        if (!other.streams_.isEmpty()) {
+          if (streams_.isEmpty()) {
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureStreamsIsMutable();
+            streams_.addAll(other.streams_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.streams_.isEmpty()) {
+          if (streamsBuilder_.isEmpty()) {
+            streamsBuilder_.dispose();
+            streamsBuilder_ = null;
+            streams_ = other.streams_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            streamsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStreamsFieldBuilder() : null;
+          } else {
+            streamsBuilder_.addAllMessages(other.streams_);
+          }
+        }
+      }
+      if (other.getStreamsDropped() != false) {
+        setStreamsDropped(other.getStreamsDropped());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -526,6 +662,24 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              org.celerygw.core.gen.turns.StreamVersion m =
+                  input.readMessage(
+                      org.celerygw.core.gen.turns.StreamVersion.parser(),
+                      extensionRegistry);
+              if (streamsBuilder_ == null) {
+                ensureStreamsIsMutable();
+                streams_.add(m);
+              } else {
+                streamsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 40: {
+              streamsDropped_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -943,6 +1097,290 @@
       return this;
     }
 
+    private java.util.List<org.celerygw.core.gen.turns.StreamVersion> streams_ =
+      java.util.Collections.emptyList();
+    private void ensureStreamsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        streams_ = new java.util.ArrayList<org.celerygw.core.gen.turns.StreamVersion>(streams_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.turns.StreamVersion, org.celerygw.core.gen.turns.StreamVersion.Builder, org.celerygw.core.gen.turns.StreamVersionOrBuilder> streamsBuilder_;
+
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.turns.StreamVersion> getStreamsList() {
+      if (streamsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(streams_);
+      } else {
+        return streamsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public int getStreamsCount() {
+      if (streamsBuilder_ == null) {
+        return streams_.size();
+      } else {
+        return streamsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public org.celerygw.core.gen.turns.StreamVersion getStreams(int index) {
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);
+      } else {
+        return streamsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder setStreams(
+        int index, org.celerygw.core.gen.turns.StreamVersion value) {
+      if (streamsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStreamsIsMutable();
+        streams_.set(index, value);
+        onChanged();
+      } else {
+        streamsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder setStreams(
+        int index, org.celerygw.core.gen.turns.StreamVersion.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder addStreams(org.celerygw.core.gen.turns.StreamVersion value) {
+      if (streamsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStreamsIsMutable();
+        streams_.add(value);
+        onChanged();
+      } else {
+        streamsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder addStreams(
+        int index, org.celerygw.core.gen.turns.StreamVersion value) {
+      if (streamsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStreamsIsMutable();
+        streams_.add(index, value);
+        onChanged();
+      } else {
+        streamsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder addStreams(
+        org.celerygw.core.gen.turns.StreamVersion.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(builderForValue.build());
+        onChanged();
+      } else {
+        streamsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder addStreams(
+        int index, org.celerygw.core.gen.turns.StreamVersion.Builder builderForValue) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder addAllStreams(
+        java.lang.Iterable<? extends org.celerygw.core.gen.turns.StreamVersion> values) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, streams_);
+        onChanged();
+      } else {
+        streamsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder clearStreams() {
+      if (streamsBuilder_ == null) {
+        streams_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        streamsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public Builder removeStreams(int index) {
+      if (streamsBuilder_ == null) {
+        ensureStreamsIsMutable();
+        streams_.remove(index);
+        onChanged();
+      } else {
+        streamsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public org.celerygw.core.gen.turns.StreamVersion.Builder getStreamsBuilder(
+        int index) {
+      return internalGetStreamsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public org.celerygw.core.gen.turns.StreamVersionOrBuilder getStreamsOrBuilder(
+        int index) {
+      if (streamsBuilder_ == null) {
+        return streams_.get(index);  } else {
+        return streamsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public java.util.List<? extends org.celerygw.core.gen.turns.StreamVersionOrBuilder> 
+         getStreamsOrBuilderList() {
+      if (streamsBuilder_ != null) {
+        return streamsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(streams_);
+      }
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public org.celerygw.core.gen.turns.StreamVersion.Builder addStreamsBuilder() {
+      return internalGetStreamsFieldBuilder().addBuilder(
+          org.celerygw.core.gen.turns.StreamVersion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public org.celerygw.core.gen.turns.StreamVersion.Builder addStreamsBuilder(
+        int index) {
+      return internalGetStreamsFieldBuilder().addBuilder(
+          index, org.celerygw.core.gen.turns.StreamVersion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.turns.StreamVersion.Builder> 
+         getStreamsBuilderList() {
+      return internalGetStreamsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.turns.StreamVersion, org.celerygw.core.gen.turns.StreamVersion.Builder, org.celerygw.core.gen.turns.StreamVersionOrBuilder> 
+        internalGetStreamsFieldBuilder() {
+      if (streamsBuilder_ == null) {
+        streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.celerygw.core.gen.turns.StreamVersion, org.celerygw.core.gen.turns.StreamVersion.Builder, org.celerygw.core.gen.turns.StreamVersionOrBuilder>(
+                streams_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        streams_ = null;
+      }
+      return streamsBuilder_;
+    }
+
+    private boolean streamsDropped_ ;
+    /**
+     * <pre>
+     * older streams were removed from the list because there were too many
+     * </pre>
+     *
+     * <code>bool streams_dropped = 5;</code>
+     * @return The streamsDropped.
+     */
+    @java.lang.Override
+    public boolean getStreamsDropped() {
+      return streamsDropped_;
+    }
+    /**
+     * <pre>
+     * older streams were removed from the list because there were too many
+     * </pre>
+     *
+     * <code>bool streams_dropped = 5;</code>
+     * @param value The streamsDropped to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStreamsDropped(boolean value) {
+
+      streamsDropped_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * older streams were removed from the list because there were too many
+     * </pre>
+     *
+     * <code>bool streams_dropped = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStreamsDropped() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      streamsDropped_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.turns.ProgramRow)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/turns/ProgramRowOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/ProgramRowOrBuilder.java
@@ -73,4 +73,38 @@
    * @return The keepUntilMs.
    */
   long getKeepUntilMs();
+
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  java.util.List<org.celerygw.core.gen.turns.StreamVersion> 
+      getStreamsList();
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  org.celerygw.core.gen.turns.StreamVersion getStreams(int index);
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  int getStreamsCount();
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  java.util.List<? extends org.celerygw.core.gen.turns.StreamVersionOrBuilder> 
+      getStreamsOrBuilderList();
+  /**
+   * <code>repeated .celerygw.turns.StreamVersion streams = 4;</code>
+   */
+  org.celerygw.core.gen.turns.StreamVersionOrBuilder getStreamsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * older streams were removed from the list because there were too many
+   * </pre>
+   *
+   * <code>bool streams_dropped = 5;</code>
+   * @return The streamsDropped.
+   */
+  boolean getStreamsDropped();
 }
--- a/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_turns_OpenTurn_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_turns_StreamVersion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_turns_StreamVersion_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_turns_TurnRow_descriptor;
   static final 
@@ -50,15 +55,19 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013turns.proto\022\016celerygw.turns\"a\n\nProgram" +
-      "Row\022\024\n\014spent_tokens\030\001 \001(\003\022&\n\004open\030\002 \003(\0132" +
-      "\030.celerygw.turns.OpenTurn\022\025\n\rkeep_until_" +
-      "ms\030\003 \001(\003\",\n\010OpenTurn\022\014\n\004turn\030\001 \001(\t\022\022\n\nma" +
-      "x_tokens\030\002 \001(\003\"w\n\007TurnRow\022\026\n\016parent_prog" +
-      "ram\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030" +
-      "\003 \001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n" +
-      "\010ended_ms\030\006 \001(\003B\037\n\033org.celerygw.core.gen" +
-      ".turnsP\001b\006proto3"
+      "\n\013turns.proto\022\016celerygw.turns\"\252\001\n\nProgra" +
+      "mRow\022\024\n\014spent_tokens\030\001 \001(\003\022&\n\004open\030\002 \003(\013" +
+      "2\030.celerygw.turns.OpenTurn\022\025\n\rkeep_until" +
+      "_ms\030\003 \001(\003\022.\n\007streams\030\004 \003(\0132\035.celerygw.tu" +
+      "rns.StreamVersion\022\027\n\017streams_dropped\030\005 \001" +
+      "(\010\"F\n\010OpenTurn\022\014\n\004turn\030\001 \001(\t\022\022\n\nmax_toke" +
+      "ns\030\002 \001(\003\022\030\n\020software_version\030\003 \001(\t\"8\n\rSt" +
+      "reamVersion\022\030\n\020software_version\030\001 \001(\t\022\r\n" +
+      "\005turns\030\002 \003(\t\"w\n\007TurnRow\022\026\n\016parent_progra" +
+      "m\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030\003 " +
+      "\001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n\010e" +
+      "nded_ms\030\006 \001(\003B\037\n\033org.celerygw.core.gen.t" +
+      "urnsP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -69,15 +78,21 @@
     internal_static_celerygw_turns_ProgramRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_ProgramRow_descriptor,
-        new java.lang.String[] { "SpentTokens", "Open", "KeepUntilMs", });
+        new java.lang.String[] { "SpentTokens", "Open", "KeepUntilMs", "Streams", "StreamsDropped", });
     internal_static_celerygw_turns_OpenTurn_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_celerygw_turns_OpenTurn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_OpenTurn_descriptor,
-        new java.lang.String[] { "Turn", "MaxTokens", });
-    internal_static_celerygw_turns_TurnRow_descriptor =
+        new java.lang.String[] { "Turn", "MaxTokens", "SoftwareVersion", });
+    internal_static_celerygw_turns_StreamVersion_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_celerygw_turns_StreamVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_turns_StreamVersion_descriptor,
+        new java.lang.String[] { "SoftwareVersion", "Turns", });
+    internal_static_celerygw_turns_TurnRow_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_celerygw_turns_TurnRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_TurnRow_descriptor,
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -74,7 +74,7 @@
          * The request will not run.
          *
          * @param reason the reason, for the log
-         * @param retryAfterMs when the client may try again, in ms from now
+         * @param retryAfterMs when the client may try again, in ms from now; 0 if waiting does not help
          */
         void refuse(String reason, long retryAfterMs);
     }
@@ -127,8 +127,8 @@
      * @param nowMs the current time, in ms
      */
     public void offer(EngineRequest request, Waiter waiter, long nowMs) {
-        if (!selector.hasUsableServer(servers.byService(request.service()), request.triedServers(), nowMs)) {
-            waiter.refuse("no backend server available", retryAfterMs(MIN_RETRY_AFTER_MS));
+        if (!hasUsableServer(request, nowMs)) {
+            refuseWithoutServer(request, waiter);
             return;
         }
         Entry entry = createEntry(request, waiter, nowMs);
@@ -148,6 +148,23 @@
         }
     }
 
+    private List<TrackedServer> engines(EngineRequest request) {
+        return servers.byService(request.service(), request.softwareVersion());
+    }
+
+    private boolean hasUsableServer(EngineRequest request, long nowMs) {
+        return selector.hasUsableServer(engines(request), request.triedServers(), nowMs);
+    }
+
+    /** A client that waits does not bring back the version that its stream began at: it had better start anew at once. */
+    private void refuseWithoutServer(EngineRequest request, Waiter waiter) {
+        if (request.softwareVersion().isEmpty()) {
+            waiter.refuse("no backend server available", retryAfterMs(MIN_RETRY_AFTER_MS));
+        } else {
+            waiter.refuse("no backend server of software version " + request.softwareVersion() + " available", 0);
+        }
+    }
+
     private Entry createEntry(EngineRequest request, Waiter waiter, long nowMs) {
         boolean underWay = isStarted(request) && request.programDeadlineMs() > nowMs;
         return new Entry(request, waiter, underWay, nextNumber++);
@@ -254,9 +271,8 @@
 
     private boolean tryStart(Entry entry, long nowMs) {
         EngineRequest request = entry.request;
-        List<TrackedServer> engines = servers.byService(request.service());
         Optional<TrackedServer> server = selector.selectEngine(
-                engines, request.affinityKey(), request.previousServer(), request.triedServers(), nowMs);
+                engines(request), request.affinityKey(), request.previousServer(), request.triedServers(), nowMs);
         server.ifPresent(selected -> {
             int program = hash(request.program());
             if (!request.program().isEmpty() && startedPrograms.put(program, true) == null) {
@@ -313,10 +329,10 @@
             EngineRequest request = entry.request;
             if (tryStart(entry, nowMs)) {
                 left--;
-            } else if (selector.hasUsableServer(servers.byService(request.service()), request.triedServers(), nowMs)) {
+            } else if (hasUsableServer(request, nowMs)) {
                 queue.add(entry);
             } else {
-                entry.waiter.refuse("no backend server available", retryAfterMs(MIN_RETRY_AFTER_MS));
+                refuseWithoutServer(request, entry.waiter);
             }
         }
     }
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineRequest.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineRequest.java
@@ -6,17 +6,19 @@
  * A request to an engine, as far as scheduling is concerned.
  *
  * @param service the service whose engines can run it
+ * @param softwareVersion the software version of the engines that can run it; empty for any
  * @param program the program that it belongs to; empty for none
  * @param affinityKey the key of requests that should go to the same engine
  * @param previousServer the id of the engine that ran the previous turn; empty if unknown
  * @param triedServers the ids of engines that have failed or rejected it
- * @param continuesTurn whether it continues an earlier turn, so that its program is certainly under way
+ * @param continuesTurn whether it continues an earlier turn or stream, so that its program is certainly under way
  * @param rank the urgency rank of its route; 0 is the most urgent
  * @param latestStartMs the latest time at which it can start and still be answered by its deadline, in ms
  * @param programDeadlineMs when its program should be finished, in ms; {@link Long#MAX_VALUE} if unknown
  */
 public record EngineRequest(
         String service,
+        String softwareVersion,
         String program,
         String affinityKey,
         String previousServer,
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -129,6 +130,38 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the servers of a service that run one version of its software, usable or not.
+     *
+     * @param service the service's name
+     * @param softwareVersion the version; empty for the servers of all versions
+     * @return the servers, ordered by id
+     */
+    public List<TrackedServer> byService(String service, String softwareVersion) {
+        List<TrackedServer> all = byService(service);
+        return softwareVersion.isEmpty()
+                ? all
+                : all.stream()
+                        .filter(s -> s.entry().softwareVersion().equals(softwareVersion))
+                        .toList();
+    }
+
+    /**
+     * Returns the software versions of a service's usable servers.
+     *
+     * @param service the service's name
+     * @return the number of servers by version, the version of most servers first
+     */
+    public List<Map.Entry<String, Long>> softwareVersions(String service) {
+        return byService(service).stream()
+                .filter(TrackedServer::isUsable)
+                .collect(Collectors.groupingBy(s -> s.entry().softwareVersion(), Collectors.counting()))
+                .entrySet()
+                .stream()
+                .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+                .toList();
+    }
+
     /**
      * Looks up a server by id.
      *
--- a/core/src/main/java/org/celerygw/core/turns/AdvanceReservations.java
+++ b/core/src/main/java/org/celerygw/core/turns/AdvanceReservations.java
@@ -42,6 +42,10 @@
         return false;
     }
 
+    boolean isBound(String turn) {
+        return namesByTurn.containsKey(turn);
+    }
+
     /** Removes the turn's binding and returns the name of its reservation: the turn's id if none was bound. */
     String unbind(String turn) {
         String name = namesByTurn.remove(turn);
--- a/core/src/main/java/org/celerygw/core/turns/Budget.java
+++ b/core/src/main/java/org/celerygw/core/turns/Budget.java
@@ -4,6 +4,9 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.turns.OpenTurn;
@@ -11,7 +14,7 @@
 
 /**
  * The token budget of one program as its row holds it: the tokens spent by settled turns and those reserved by open
- * turns, together with the time until which the program is retained.
+ * turns, the software versions at which streams began, and the time until which the program is retained.
  */
 final class Budget {
     /** Prefix of the names of advance reservations; no escaped turn id starts with it. */
@@ -19,7 +22,10 @@
 
     private long spentTokens;
     private long keepUntilMs;
-    private final Map<String, Long> openTokensByTurn = new LinkedHashMap<>();
+    private final Map<String, OpenReservation> open = new LinkedHashMap<>();
+    private StreamVersions streams = new StreamVersions();
+
+    private record OpenReservation(long tokens, String softwareVersion) {}
 
     static Budget parse(ByteString value) {
         try {
@@ -27,7 +33,10 @@
             Budget budget = new Budget();
             budget.spentTokens = row.getSpentTokens();
             budget.keepUntilMs = row.getKeepUntilMs();
-            row.getOpenList().forEach(o -> budget.openTokensByTurn.put(o.getTurn(), o.getMaxTokens()));
+            row.getOpenList()
+                    .forEach(o -> budget.open.put(
+                            o.getTurn(), new OpenReservation(o.getMaxTokens(), o.getSoftwareVersion())));
+            budget.streams = StreamVersions.parse(row);
             return budget;
         } catch (InvalidProtocolBufferException e) {
             throw new GatewayException(ErrorCode.DAMAGED, "program row cannot be decoded as a ProgramRow message");
@@ -37,8 +46,11 @@
     ByteString toRowValue() {
         ProgramRow.Builder row =
                 ProgramRow.newBuilder().setSpentTokens(spentTokens).setKeepUntilMs(keepUntilMs);
-        openTokensByTurn.forEach(
-                (turn, max) -> row.addOpen(OpenTurn.newBuilder().setTurn(turn).setMaxTokens(max)));
+        open.forEach((turn, reservation) -> row.addOpen(OpenTurn.newBuilder()
+                .setTurn(turn)
+                .setMaxTokens(reservation.tokens())
+                .setSoftwareVersion(reservation.softwareVersion())));
+        streams.addTo(row);
         return row.build().toByteString();
     }
 
@@ -46,7 +58,8 @@
         Budget copy = new Budget();
         copy.spentTokens = spentTokens;
         copy.keepUntilMs = keepUntilMs;
-        copy.openTokensByTurn.putAll(openTokensByTurn);
+        copy.open.putAll(open);
+        copy.streams = streams.copy();
         return copy;
     }
 
@@ -60,25 +73,55 @@
     }
 
     boolean isOpen(String turn) {
-        return openTokensByTurn.containsKey(turn);
+        return open.containsKey(turn);
     }
 
     /** Returns whether a turn fits the budget even if every open turn uses its full reservation. */
     boolean fits(long maxTokens, long budgetTokens) {
         long reserved =
-                openTokensByTurn.values().stream().mapToLong(Long::longValue).sum();
+                open.values().stream().mapToLong(OpenReservation::tokens).sum();
         return spentTokens + reserved + maxTokens <= budgetTokens;
     }
 
     /** Returns how many advance reservations are open, by any host. */
     long advanceReservations() {
-        return openTokensByTurn.keySet().stream()
-                .filter(t -> t.startsWith(ADVANCE_PREFIX))
-                .count();
+        return open.keySet().stream().filter(Budget::isAdvance).count();
+    }
+
+    private static boolean isAdvance(String turn) {
+        return turn.startsWith(ADVANCE_PREFIX);
     }
 
-    void reserve(String turn, long maxTokens) {
-        openTokensByTurn.put(turn, maxTokens);
+    /** Reserves tokens for a turn whose stream begins at the given software version; empty if that is not known. */
+    void reserve(String turn, long maxTokens, String softwareVersion) {
+        open.put(turn, new OpenReservation(maxTokens, softwareVersion));
+    }
+
+    /** Records at which software version a turn's stream began; returns whether that was not recorded yet. */
+    boolean recordStream(String turn, String softwareVersion) {
+        return streams.record(turn, softwareVersion);
+    }
+
+    /**
+     * Returns the software version at which a turn's stream began; empty if the row does not tell. A stream that was not
+     * recorded and has no reservation of its own runs under an advance reservation that is still open: which of them is
+     * not stored, so that all must name the same version.
+     */
+    Optional<String> streamVersion(String turn) {
+        Optional<String> recorded = streams.of(turn);
+        if (recorded.isPresent()) {
+            return recorded;
+        }
+        OpenReservation own = open.get(turn);
+        if (own != null) {
+            return Optional.of(own.softwareVersion()).filter(v -> !v.isEmpty());
+        }
+        Set<String> versions = open.entrySet().stream()
+                .filter(e -> isAdvance(e.getKey()))
+                .map(e -> e.getValue().softwareVersion())
+                .collect(Collectors.toSet());
+        boolean known = streams.isComplete() && versions.size() == 1 && !versions.contains("");
+        return known ? Optional.of(versions.iterator().next()) : Optional.empty();
     }
 
     /**
@@ -86,7 +129,7 @@
      * not open, which normally means that it was settled before.
      */
     boolean settle(String turn, long tokens) {
-        if (openTokensByTurn.remove(turn) == null) {
+        if (open.remove(turn) == null) {
             return false;
         }
         spentTokens += tokens;
--- a/core/src/main/java/org/celerygw/core/turns/CachedProgram.java
+++ b/core/src/main/java/org/celerygw/core/turns/CachedProgram.java
@@ -29,6 +29,9 @@
     long maxTokens;
     long budgetTokens;
 
+    /** The software version at which the program's last resumable stream at this host began; empty for none. */
+    String softwareVersion = "";
+
     CachedProgram(String safeId, int partition, Table table) {
         this.safeId = safeId;
         this.partition = partition;
@@ -47,6 +50,9 @@
         retentionMs = Math.max(retentionMs, reservation.retentionMs());
         maxTokens = Math.max(maxTokens, reservation.maxTokens());
         budgetTokens = reservation.budgetTokens();
+        if (!reservation.softwareVersion().isEmpty()) {
+            softwareVersion = reservation.softwareVersion();
+        }
     }
 
     void applyRow(Row row, long nowMs) {
--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
@@ -124,6 +125,8 @@
      * @param program the program's id
      * @param turn the turn's id
      * @param tokens the tokens that were delivered to the client
+     * @param softwareVersion the software version at which the turn's stream began; empty if no event of it was delivered
+     *     or it cannot be resumed
      * @param storedTurn the turn to store; null if its history is not stored
      * @param deadlineMs when to report {@link UpdateResult#UNAVAILABLE}, in ms since 1970-01-01 UTC; the write is retried for
      *     {@value #SETTLE_RETRY_MS} ms longer
@@ -133,11 +136,12 @@
             String program,
             String turn,
             long tokens,
+            String softwareVersion,
             @Nullable StoredTurn storedTurn,
             long deadlineMs,
             Consumer<UpdateResult> callback) {
         CachedProgram cached = cachedProgram(program);
-        enqueue(cached, newSettlement(cached, turn, tokens, storedTurn, deadlineMs, callback));
+        enqueue(cached, newSettlement(cached, turn, tokens, softwareVersion, storedTurn, deadlineMs, callback));
     }
 
     /**
@@ -148,11 +152,13 @@
      * @param program the program's id
      * @param turn the turn's id
      * @param tokens the tokens that were delivered to the client
+     * @param softwareVersion the software version at which the turn's stream began; empty if no event of it was delivered
+     *     or it cannot be resumed
      */
-    public void settleLater(String program, String turn, long tokens) {
+    public void settleLater(String program, String turn, long tokens, String softwareVersion) {
         CachedProgram cached = cachedProgram(program);
-        cached.pendingUpdates.add(
-                newSettlement(cached, turn, tokens, null, clock.nowMs() + SETTLE_RETRY_MS, result -> {}));
+        cached.pendingUpdates.add(newSettlement(
+                cached, turn, tokens, softwareVersion, null, clock.nowMs() + SETTLE_RETRY_MS, result -> {}));
         scheduler.schedule(SETTLE_DELAY_MS, () -> writePending(cached, false));
     }
 
@@ -160,12 +166,93 @@
             CachedProgram program,
             String turn,
             long tokens,
+            String softwareVersion,
             @Nullable StoredTurn storedTurn,
             long deadlineMs,
             Consumer<UpdateResult> callback) {
         String safeId = ProgramRowKeys.safeId(turn);
         return PendingUpdate.settlement(
-                safeId, program.advanceReservations.unbind(safeId), tokens, storedTurn, deadlineMs, callback);
+                safeId,
+                program.advanceReservations.unbind(safeId),
+                tokens,
+                softwareVersion,
+                storedTurn,
+                deadlineMs,
+                callback);
+    }
+
+    /**
+     * Records at which software version a turn's stream begins, so that any host can resume it at the same one.
+     *
+     * @param program the program's id
+     * @param turn the turn's id
+     * @param softwareVersion the version
+     * @param retentionMs how long the program's rows are retained after this, in ms
+     * @param deadlineMs when to report {@link UpdateResult#UNAVAILABLE}, in ms since 1970-01-01 UTC
+     * @param callback called once with the result
+     */
+    public void recordStream(
+            String program,
+            String turn,
+            String softwareVersion,
+            long retentionMs,
+            long deadlineMs,
+            Consumer<UpdateResult> callback) {
+        CachedProgram cached = cachedProgram(program);
+        cached.softwareVersion = softwareVersion;
+        enqueue(
+                cached,
+                PendingUpdate.streamVersion(
+                        ProgramRowKeys.safeId(turn), softwareVersion, retentionMs, deadlineMs, callback));
+    }
+
+    /**
+     * Returns what a host that reads the program's row would learn about a stream of this host, according to the cache.
+     *
+     * @param program the program's id
+     * @param turn the turn's id; reserved by this host and not settled
+     * @return the software version at which the stream begins; empty if the row does not tell
+     */
+    public Optional<String> storedStreamVersion(String program, String turn) {
+        return cachedProgram(program).budget.streamVersion(ProgramRowKeys.safeId(turn));
+    }
+
+    /**
+     * Returns whether a turn of this host runs under an advance reservation.
+     *
+     * @param program the program's id
+     * @param turn the turn's id; reserved by this host and not settled
+     * @return false if it has a reservation of its own
+     */
+    public boolean isReservedAhead(String program, String turn) {
+        return cachedProgram(program).advanceReservations.isBound(ProgramRowKeys.safeId(turn));
+    }
+
+    /**
+     * Reads at which software version a turn's stream began; retries until the deadline while the store is unavailable.
+     *
+     * @param program the program's id
+     * @param turn the id of the turn that brought the stream's first event, at any host
+     * @param deadlineMs when to stop retrying, in ms since 1970-01-01 UTC
+     * @param callback called once with the result
+     */
+    public void readStreamVersion(String program, String turn, long deadlineMs, Consumer<StreamOrigin> callback) {
+        CachedProgram cached = cachedProgram(program);
+        cached.table.read(List.of(ProgramRowKeys.programRow(cached.safeId)), result -> {
+            breaker(cached).recordResult(result.ok());
+            long pauseMs = retryDelayMs(cached);
+            if (result.ok()) {
+                Row row = result.rows().get(0);
+                Budget budget = row.exists() ? Budget.parse(row.value()) : new Budget();
+                callback.accept(budget.streamVersion(ProgramRowKeys.safeId(turn))
+                        .map(StreamOrigin::known)
+                        .orElse(StreamOrigin.UNKNOWN));
+            } else if (clock.nowMs() + pauseMs < deadlineMs) {
+                scheduler.schedule(pauseMs, () -> readStreamVersion(program, turn, deadlineMs, callback));
+            } else {
+                callback.accept(StreamOrigin.UNAVAILABLE);
+            }
+        });
     }
 
     /**
@@ -300,7 +387,8 @@
         if (program.pendingUpdates.isEmpty()) {
             return;
         }
-        if (program.version == CachedProgram.UNKNOWN_VERSION && !program.pendingUpdates.peek().isReservation) {
+        if (program.version == CachedProgram.UNKNOWN_VERSION
+                && !program.pendingUpdates.peek().isReservation()) {
             readBudget(program);
             return;
         }
@@ -401,7 +489,7 @@
 
     private void releaseReservation(CachedProgram program, PendingUpdate update) {
         program.pendingUpdates.add(PendingUpdate.settlement(
-                update.turn, update.turn, 0, null, clock.nowMs() + SETTLE_RETRY_MS, result -> {}));
+                update.turn, update.turn, 0, "", null, clock.nowMs() + SETTLE_RETRY_MS, result -> {}));
     }
 
     private PartitionCircuitBreaker breaker(CachedProgram program) {
@@ -426,12 +514,12 @@
         long nowMs = clock.nowMs();
         List<PendingUpdate> expired = program.pendingUpdates.stream()
                 .filter(update ->
-                        nowMs >= (update.isReservation ? update.deadlineMs : update.deadlineMs + SETTLE_RETRY_MS))
+                        nowMs >= (update.isReservation() ? update.deadlineMs : update.deadlineMs + SETTLE_RETRY_MS))
                 .toList();
         program.pendingUpdates.removeAll(expired);
         for (PendingUpdate update : expired) {
             update.complete(UpdateResult.UNAVAILABLE);
-            if (update.isReservation && update.writeAttempted) {
+            if (update.isReservation() && update.writeAttempted) {
                 releaseReservation(program, update);
             }
         }
--- a/core/src/main/java/org/celerygw/core/turns/UpdateBatch.java
+++ b/core/src/main/java/org/celerygw/core/turns/UpdateBatch.java
@@ -33,25 +33,49 @@
 
     /** Adds an update; returns false, without adding it, if it is a reservation that exceeds the budget. */
     boolean tryAdd(PendingUpdate update) {
-        if (update.isReservation && !budget.isOpen(update.turn)) {
-            if (!budget.fits(update.tokens, update.budgetTokens)) {
-                return false;
+        switch (update.kind) {
+            case RESERVATION -> {
+                if (!budget.isOpen(update.turn) && !budget.fits(update.tokens, update.budgetTokens)) {
+                    return false;
+                }
+                reserve(update);
             }
-            budget.reserve(update.turn, update.tokens);
-            budget.extendRetention(nowMs + update.retentionMs);
-            hasChanges = true;
-        } else if (!update.isReservation && settle(update)) {
-            if (update.storedTurn != null) {
-                changes.addAll(TurnRowCodec.encode(program.safeId, update.turn, update.storedTurn, rowBytes));
+            case SETTLEMENT -> {
+                if (settle(update)) {
+                    addSettlement(update);
+                }
+            }
+            case STREAM_VERSION -> {
+                if (budget.recordStream(update.turn, update.softwareVersion)) {
+                    budget.extendRetention(nowMs + update.retentionMs);
+                    hasChanges = true;
+                }
             }
-            budget.extendRetention(nowMs + program.retentionMs);
-            hasChanges = true;
         }
         historyBytes += update.historyBytes();
         updates.add(update);
         return true;
     }
 
+    private void reserve(PendingUpdate update) {
+        if (!budget.isOpen(update.turn)) {
+            budget.reserve(update.turn, update.tokens, update.softwareVersion);
+            budget.extendRetention(nowMs + update.retentionMs);
+            hasChanges = true;
+        }
+    }
+
+    private void addSettlement(PendingUpdate update) {
+        if (update.storedTurn != null) {
+            changes.addAll(TurnRowCodec.encode(program.safeId, update.turn, update.storedTurn, rowBytes));
+        }
+        if (!update.softwareVersion.isEmpty()) {
+            budget.recordStream(update.turn, update.softwareVersion);
+        }
+        budget.extendRetention(nowMs + program.retentionMs);
+        hasChanges = true;
+    }
+
     /**
      * Settles a turn in the budget. Returns whether the batch must write it: false if an earlier write took effect
      * although its response was lost, or if the program's rows were removed and the turn has no history to store.
@@ -70,10 +94,11 @@
      */
     void reserveAhead(Supplier<String> names) {
         while (hasChanges
+                && program.budgetTokens > 0
                 && budget.advanceReservations() < MAX_ADVANCE_RESERVATIONS
                 && budget.fits(MIN_ROOM_TURNS * program.maxTokens, program.budgetTokens)) {
             String name = names.get();
-            budget.reserve(name, program.maxTokens);
+            budget.reserve(name, program.maxTokens, program.softwareVersion);
             advanceReservationNames.add(name);
         }
     }
--- a/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
@@ -60,8 +60,21 @@
     }
 
     private Waiter offer(String program, boolean continuesTurn, int rank, long programLeftMs) {
+        return offer(program, "", continuesTurn, rank, programLeftMs);
+    }
+
+    private Waiter offer(String program, String version, boolean continuesTurn, int rank, long programLeftMs) {
         EngineRequest request = new EngineRequest(
-                "e", program, program, "", Set.of(), continuesTurn, rank, NOW_MS + MAX_WAIT_MS, NOW_MS + programLeftMs);
+                "e",
+                version,
+                program,
+                program,
+                "",
+                Set.of(),
+                continuesTurn,
+                rank,
+                NOW_MS + MAX_WAIT_MS,
+                NOW_MS + programLeftMs);
         Waiter waiter = new Waiter(program);
         queue.offer(request, waiter, NOW_MS);
         return waiter;
@@ -213,4 +226,25 @@
         assertEquals(started, List.of());
         assertEquals(refused, Map.of());
     }
+
+    /** Guards against a resumed stream that is started at an engine of another version, or holds up requests that can. */
+    @Test
+    public void requestForOneVersionWaitsForAnEngineOfItAndHoldsUpNoOther() {
+        fillEngine();
+        servers.put(new BackendServer("i2", "e", "127.0.0.1", 2, "z", "v2", ROOM - 1, false, 1));
+        offer("resumed", "v1", true, 0, 5_000);
+        assertEquals(started, List.of());
+        offer("other", "", true, 0, 6_000);
+        queue.poll(NOW_MS + 5);
+        assertEquals(started, List.of("other"));
+        endOneRequest(NOW_MS + 10);
+        assertEquals(started, List.of("other", "resumed"));
+        assertEquals(engine.inFlight(), ROOM);
+    }
+
+    @Test
+    public void requestForAVersionWithoutEnginesIsRefusedAtOnceWithNothingToWaitFor() {
+        offer("resumed", "v0", true, 0, 5_000);
+        assertEquals(refused, Map.of("resumed", 0L));
+    }
 }
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -170,7 +170,7 @@
         private EngineRequest request(Program program) {
             long latestStartMs = (long) (nowMs + REQUEST_TIMEOUT_MS - SERVICE_MS);
             return new EngineRequest(
-                    "e", program.id, program.id, "", Set.of(), false, program.rank, latestStartMs, (long)
+                    "e", "", program.id, program.id, "", Set.of(), false, program.rank, latestStartMs, (long)
                             program.deadlineMs);
         }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -16,18 +16,21 @@
     }
 
     /** Offers the request to the queue, which may decide at once. */
-    void begin(String service, String previousServerId, Set<String> triedServerIds) {
+    void begin(String service, ProgramTurn turn, Set<String> triedServerIds) {
         RequestMetadata metadata = exchange.metadata;
         long programDeadlineMs = metadata.programTimeoutMs() < 0
                 ? Long.MAX_VALUE
                 : exchange.request.receivedAtMs() + metadata.programTimeoutMs();
         EngineRequest request = new EngineRequest(
                 service,
+                turn.requiredVersion(),
                 metadata.program(),
                 exchange.affinityKey(),
-                previousServerId,
+                turn.previousServerId(),
                 Set.copyOf(triedServerIds),
-                exchange.sendCount() > 0 || !metadata.previousTurn().isEmpty(),
+                exchange.sendCount() > 0
+                        || metadata.resumesStream()
+                        || !metadata.previousTurn().isEmpty(),
                 exchange.route.rank(),
                 exchange.latestSendMs(),
                 programDeadlineMs);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.celerygw.core.routes.Route;
@@ -171,7 +172,7 @@
             endWithoutServer();
         } else if (service.runsEngines()) {
             engineWait = new EngineWait(this);
-            engineWait.begin(service.name(), turn.previousServerId(), triedServerIds);
+            engineWait.begin(service.name(), turn, triedServerIds);
         } else {
             selectServer(service).ifPresentOrElse(this::sendTo, () -> awaitPermit(service));
         }
@@ -207,6 +208,7 @@
         sendCount++;
         possibleExecutions++;
         crashGuard.onSend();
+        turn.onSend(server.entry().softwareVersion());
         forwarder.requestStarted(server, service);
         forwarder.requestLog.logSend(this, server);
         sentMs = forwarder.clock.nowMs();
@@ -300,7 +302,7 @@
     /** Tries again while some server is usable, though none may be sent a request now; there is no queue here. */
     private void awaitPermit(Service plainService) {
         boolean usable = forwarder.serverSelector.hasUsableServer(
-                forwarder.servers.byService(plainService.name()), triedServerIds, forwarder.clock.nowMs());
+                candidates(plainService), triedServerIds, forwarder.clock.nowMs());
         if (usable && forwarder.clock.nowMs() < latestSendMs()) {
             forwarder.scheduler.schedule(PERMIT_POLL_INTERVAL_MS, this::send);
         } else {
@@ -310,10 +312,11 @@
 
     private Optional<TrackedServer> selectServer(Service plainService) {
         return forwarder.serverSelector.selectServer(
-                forwarder.servers.byService(plainService.name()),
-                triedServerIds,
-                affinityKey(),
-                forwarder.clock.nowMs());
+                candidates(plainService), triedServerIds, affinityKey(), forwarder.clock.nowMs());
+    }
+
+    private List<TrackedServer> candidates(Service plainService) {
+        return forwarder.servers.byService(plainService.name(), turn.requiredVersion());
     }
 
     /** Returns the key by which related requests go to the same server: an engine's program, or else the client's key. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import java.io.ByteArrayOutputStream;
+import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.turns.Reservation;
 import org.celerygw.core.turns.StoredTurn;
@@ -24,7 +25,8 @@
     private final String program;
     private final long budgetTokens;
     private Runnable onDeliveryAllowed = () -> {};
-    private boolean deliveryAllowed;
+    private final StreamVersionGuard versionGuard;
+    private boolean reservationConfirmed;
     private boolean reserved;
     private boolean settled;
     private @Nullable TurnChain chain;
@@ -35,19 +37,46 @@
         this.storesTurn = generates && exchange.route.storesTurns();
         this.reservesTokens = storesTurn || (generates && exchange.metadata.hasBudget());
         this.program =
-                exchange.metadata.program().isEmpty() ? "alone-" + exchange.metadata.id() : exchange.metadata.program();
+                exchange.metadata.program().isEmpty() ? programOf(exchange.metadata.id()) : exchange.metadata.program();
         this.budgetTokens = exchange.metadata.hasBudget() ? exchange.metadata.budgetTokens() : UNLIMITED_BUDGET_TOKENS;
-        this.deliveryAllowed = !reservesTokens;
+        this.reservationConfirmed = !reservesTokens;
+        this.versionGuard = new StreamVersionGuard(exchange, program, reservesTokens, this::deliverIfAllowed);
     }
 
-    /** Sets the task that runs when the reservation is confirmed. */
+    /** Returns the program under which a turn without a program is stored. */
+    static String programOf(String turn) {
+        return "alone-" + turn;
+    }
+
+    /** Returns how long the rows of a route's turns are retained, in ms. */
+    static long retentionMs(Route route) {
+        return Math.max(MIN_RETENTION_MS, route.retentionMs());
+    }
+
+    /** Sets the task that runs when events may be sent to the client. */
     void onDeliveryAllowed(Runnable task) {
         onDeliveryAllowed = task;
     }
 
-    /** Returns whether events may be sent to the client: the reservation is confirmed, or none is needed. */
+    /** Returns whether events may be sent to the client: what must be stored before the first event is confirmed. */
     boolean deliveryAllowed() {
-        return deliveryAllowed;
+        return reservationConfirmed && versionGuard.deliveryAllowed();
+    }
+
+    private void deliverIfAllowed() {
+        if (deliveryAllowed()) {
+            onDeliveryAllowed.run();
+        }
+    }
+
+    /** Returns the software version of the servers that the request may be sent to; empty for any. */
+    String requiredVersion() {
+        return versionGuard.requiredVersion();
+    }
+
+    /** Called when the request is sent to a server of the given software version. */
+    void onSend(String softwareVersion) {
+        versionGuard.onSend(softwareVersion, reservationConfirmed);
     }
 
     /** Returns the id of the server that ran the previous turn; empty when there is none. */
@@ -72,6 +101,10 @@
             exchange.refuse(new Forwarder.Refusal(413, "the input is too large to be stored as a turn", 0));
             return;
         }
+        versionGuard.findOrigin(this::readChain);
+    }
+
+    private void readChain() {
         if (storesTurn && !exchange.metadata.previousTurn().isEmpty()) {
             exchange.forwarder.programStore.readChain(
                     program, exchange.metadata.previousTurn(), exchange.latestSendMs(), this::onChainRead);
@@ -111,18 +144,19 @@
         // reservation is confirmed.
         boolean sendsInParallel = exchange.forwarder.programStore.isStoreAvailable(program)
                 && exchange.forwarder.programStore.likelyWithinBudget(program, metadata.maxTokens(), budgetTokens);
-        Reservation reservation = new Reservation(
-                program,
-                metadata.id(),
-                metadata.maxTokens(),
-                budgetTokens,
-                Math.max(MIN_RETENTION_MS, exchange.route.retentionMs()));
         if (sendsInParallel) {
             // Before the reservation, so that a request that is refused at once costs the store nothing.
             exchange.send();
         }
         if (!exchange.ended()) {
             reserved = true;
+            Reservation reservation = new Reservation(
+                    program,
+                    metadata.id(),
+                    metadata.maxTokens(),
+                    budgetTokens,
+                    retentionMs(exchange.route),
+                    versionGuard.expectedVersion());
             // A request that is not yet sent is refused as soon as it can no longer be answered by its deadline.
             exchange.forwarder.programStore.reserve(
                     reservation, sendsInParallel ? exchange.deadlineMs() : exchange.latestSendMs(), this::onReserved);
@@ -135,11 +169,12 @@
         }
         switch (result) {
             case COMMITTED -> {
-                deliveryAllowed = true;
+                reservationConfirmed = true;
+                versionGuard.onReserved();
                 if (exchange.sendCount() == 0) {
                     exchange.send();
                 }
-                onDeliveryAllowed.run();
+                deliverIfAllowed();
             }
             case BUDGET_EXCEEDED -> {
                 settled = true;
@@ -158,24 +193,26 @@
 
     /** Settles the turn after a complete stream; the callback runs once the end of the stream may be sent to the client. */
     void finishStream(ResponseWriter responseWriter, Runnable onSettled) {
-        if (!deliveryAllowed) {
+        if (!deliveryAllowed()) {
             onDeliveryAllowed = () -> finishStream(responseWriter, onSettled);
             return;
         }
+        onDeliveryAllowed = () -> {};
         responseWriter.flush();
         RequestMetadata metadata = exchange.metadata;
         settled = true;
         long tokens = tokens(responseWriter.deliveredEvents());
+        String softwareVersion = versionGuard.deliveredVersion(responseWriter.deliveredEvents());
         if (!storesTurn) {
             if (reservesTokens) {
-                exchange.forwarder.programStore.settleLater(program, metadata.id(), tokens);
+                exchange.forwarder.programStore.settleLater(program, metadata.id(), tokens, softwareVersion);
             }
             onSettled.run();
             return;
         }
         StoredTurn storedTurn = storedTurn(chain == null ? TurnChain.EMPTY : chain, responseWriter.eventData());
         exchange.forwarder.programStore.settle(
-                program, metadata.id(), tokens, storedTurn, exchange.deadlineMs(), result -> {
+                program, metadata.id(), tokens, softwareVersion, storedTurn, exchange.deadlineMs(), result -> {
                     if (exchange.ended()) {
                         return;
                     }
@@ -209,6 +246,7 @@
                     program,
                     exchange.metadata.id(),
                     tokens(deliveredEvents),
+                    versionGuard.deliveredVersion(deliveredEvents),
                     null,
                     exchange.forwarder.clock.nowMs() + SETTLE_TIMEOUT_MS,
                     result -> {});
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -66,9 +66,6 @@
         status = response.status();
         headers = Headers.copy(head.headers(), n -> true);
         bufferedBody.reset();
-        if (streaming) {
-            flush();
-        }
     }
 
     void onBody(byte[] bytes) {
@@ -94,10 +91,21 @@
         return !streaming || splitter.atEventBoundary();
     }
 
-    /** Discards what cannot be forwarded after a failed send: a partial event, or the body of a buffered response. */
+    /**
+     * Discards what cannot be forwarded after a failed send: a partial event, or the body of a buffered response. A stream
+     * of which the client has received nothing is discarded as a whole, so that any server may run it anew.
+     */
     void discardPartial() {
         splitter = new EventSplitter();
         bufferedBody.reset();
+        if (!exchange.clientResponse.started()) {
+            streaming = false;
+            headers = null;
+            lastEventId = -1;
+            receivedEvents = 0;
+            eventData.reset();
+            pendingEvents.clear();
+        }
     }
 
     void finish() {
@@ -110,23 +118,35 @@
         }
         turn.finishStream(this, () -> {
             flush();
+            start();
             exchange.clientResponse.finish();
             exchange.complete(status);
         });
     }
 
-    /** Sends the head and all pending events to the client, provided that delivery is allowed. */
+    /** Sends all pending events to the client, the head before the first one, provided that delivery is allowed. */
     void flush() {
-        if (headers == null || !streaming || !turn.deliveryAllowed() || exchange.ended()) {
+        if (pendingEvents.isEmpty() || !turn.deliveryAllowed()) {
             return;
         }
-        if (!exchange.clientResponse.started()) {
-            exchange.clientResponse.start(status, headers);
+        start();
+        if (exchange.ended()) {
+            return;
         }
-        if (!pendingEvents.isEmpty() && exchange.firstByteMs() == 0) {
+        if (exchange.firstByteMs() == 0) {
             exchange.recordFirstByte();
         }
         pendingEvents.forEach(exchange.clientResponse::sendBody);
         pendingEvents.clear();
     }
+
+    /** Sends the head of a stream to the client, unless it was sent before. */
+    private void start() {
+        if (headers == null || !streaming || exchange.ended()) {
+            return;
+        }
+        if (!exchange.clientResponse.started()) {
+            exchange.clientResponse.start(status, headers);
+        }
+    }
 }
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -81,7 +81,7 @@
     public void releasesReservationAbandonedDuringAnOutage() {
         faults.injectNext(Fault.LOST_ANSWER, 1);
         AtomicReference<UpdateResult> result = new AtomicReference<>();
-        firstHost.reserve(new Reservation("p", "a", 60, 100, 60_000), clock.nowMs() + 5, result::set);
+        firstHost.reserve(new Reservation("p", "a", 60, 100, 60_000, ""), clock.nowMs() + 5, result::set);
         clock.advance(3);
         faults.injectAlways(Fault.DOWN);
         clock.advance(2_000);
@@ -97,7 +97,7 @@
     public void settlesTurnInTheTransactionOfTheNextReservation() {
         assertEquals(reserve(firstHost, "p", "a", 40, 100), UpdateResult.COMMITTED);
         long writesBefore = committedWrites();
-        firstHost.settleLater("p", "a", 10);
+        firstHost.settleLater("p", "a", 10, "");
         assertEquals(reserve(firstHost, "p", "b", 90, 100), UpdateResult.COMMITTED);
         assertEquals(committedWrites() - writesBefore, 1);
     }
@@ -111,7 +111,7 @@
         List<UpdateResult> results = new ArrayList<>();
         IntStream.range(0, 200)
                 .forEach(i -> programStore.reserve(
-                        new Reservation("p" + i, "t", 1, 100, 60_000), clock.nowMs() + 8_000, results::add));
+                        new Reservation("p" + i, "t", 1, 100, 60_000, ""), clock.nowMs() + 8_000, results::add));
         clock.advance(500);
         long callsBefore = counted.calls;
         clock.advance(5_000);
@@ -347,7 +347,7 @@
             ProgramStore programStore, String program, String turn, long maxTokens, long budgetTokens) {
         AtomicReference<UpdateResult> result = new AtomicReference<>();
         programStore.reserve(
-                new Reservation(program, turn, maxTokens, budgetTokens, 60_000), clock.nowMs() + 900, result::set);
+                new Reservation(program, turn, maxTokens, budgetTokens, 60_000, ""), clock.nowMs() + 900, result::set);
         clock.advance(1_000);
         return result.get();
     }
@@ -355,7 +355,7 @@
     private UpdateResult settle(
             ProgramStore programStore, String program, String turn, long tokens, StoredTurn storedTurn) {
         AtomicReference<UpdateResult> result = new AtomicReference<>();
-        programStore.settle(program, turn, tokens, storedTurn, clock.nowMs() + 900, result::set);
+        programStore.settle(program, turn, tokens, "", storedTurn, clock.nowMs() + 900, result::set);
         clock.advance(1_000);
         return result.get();
     }
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -4,11 +4,12 @@
 cd "$(dirname "$0")/.."
 PROTOBUF_VERSION=4.34.0
 VERTX_VERSION=5.0.7
+ARCH=$(uname -m | sed "s/aarch64/aarch_64/")
 out=target/generate
 mkdir -p "$out"
 fetch() { mvn -B -q -ntp org.apache.maven.plugins:maven-dependency-plugin:3.8.1:copy -Dartifact="$1" -DoutputDirectory="$PWD/$out" -Dmdep.useBaseVersion=true; }
-[ -f "$out/protoc-$PROTOBUF_VERSION-linux-x86_64.exe" ] || fetch "com.google.protobuf:protoc:$PROTOBUF_VERSION:exe:linux-x86_64"
-protoc="$out/protoc-$PROTOBUF_VERSION-linux-x86_64.exe"
+[ -f "$out/protoc-$PROTOBUF_VERSION-linux-$ARCH.exe" ] || fetch "com.google.protobuf:protoc:$PROTOBUF_VERSION:exe:linux-$ARCH"
+protoc="$out/protoc-$PROTOBUF_VERSION-linux-$ARCH.exe"
 chmod +x "$protoc"
 if [ ! -f "$out/classpath" ]; then
   cat > "$out/pom.xml" <<P
