Trust a server's refusal only with the id of the request and the server's statement

Clients could be told 'not run' for a request that a server had run or was running, or such a request ran a second time: a server that writes an earlier refusal again on a kept connection, without the id of a request, was taken at its word, and a bare 408, 421, 429 or 503 of a server was passed on, although only a stated refusal says that nothing ran.

Cause: a response without an id counted as the answer to whatever request was in flight on the connection. Now it is unsound: the request counts as run. A status that a client reads as 'not run' is passed on only as a refusal of this host. A connection that brought a response to another request is closed after the one in flight.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Verdict.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Verdict.java
@@ -6,9 +6,9 @@
     PASS,
     /** The server states that it did not execute the request. */
     NOT_RUN,
-    /** The server failed, and the request may be retried at another one. */
+    /** The response reports a failure that the client does not get; the request may be retried where that is allowed. */
     FAILED,
-    /** The response is invalid: a success without signature or with a content coding. */
+    /** The response is invalid: without the request's id, or a success without signature or with a content coding. */
     UNSOUND;
 
     private static final int SERVER_ERROR = 500;
@@ -21,12 +21,17 @@
      * @param streaming whether a stream has started, which the response continues
      */
     static Verdict of(ResponseMetadata response, boolean mayRetry, boolean streaming) {
+        if (!response.identified()) {
+            // It may be a second copy of an earlier one, so that not even a refusal can be trusted.
+            return UNSOUND;
+        }
         if (response.notExecuted()) {
             return NOT_RUN;
         }
         if (response.isSuccessful()) {
             return response.signed() && !response.encoded() ? PASS : UNSOUND;
         }
-        return streaming || (mayRetry && response.status() >= SERVER_ERROR) ? FAILED : PASS;
+        boolean mayMislead = streaming || response.promisesNotExecuted();
+        return mayMislead || (mayRetry && response.status() >= SERVER_ERROR) ? FAILED : PASS;
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -22,7 +22,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection to an origin. Carries one request at a time and is closed when data arrives that belongs to no request.
+ * One connection to an origin. Carries one request at a time; it is closed when data arrives that belongs to no
+ * request, and after the response in flight when that is a response to another one.
  */
 final class OriginChannel extends ChannelInboundHandlerAdapter {
     private final OriginPool pool;
@@ -32,6 +33,7 @@
     private boolean skippingResponse;
     private boolean keepAlive;
     private boolean responseComplete;
+    private boolean hadForeignResponse;
     private boolean closed;
     private long idleSinceMs;
     private long serverKeepAliveMs = Long.MAX_VALUE;
@@ -150,7 +152,7 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         if (responseComplete && pending == null) {
             responseComplete = false;
-            if (keepAlive && !closed && writeFuture != null && writeFuture.isSuccess()) {
+            if (keepAlive && !hadForeignResponse && !closed && writeFuture != null && writeFuture.isSuccess()) {
                 pool.release(this);
             } else {
                 close();
@@ -198,6 +200,7 @@
         if (object instanceof HttpResponse head) {
             boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             skippingResponse = informational || !current.responseFilter.test(head);
+            hadForeignResponse |= skippingResponse && !informational;
             keepAlive = HttpUtil.isKeepAlive(head);
             readKeepAliveTimeout(head);
             if (!skippingResponse) {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -46,6 +46,7 @@
     public ResponseMetadata parseResponse(HttpResponse head) {
         return new ResponseMetadata(
                 head.status().code(),
+                head.headers().getAll("id").size() == 1,
                 head.headers().contains("not-run"),
                 head.headers().contains("signed"),
                 head.headers().contains("content-encoding"),
