End a stream as broken when its bytes are no events

Clients could find a server's error, with its head, in the middle of their stream: a server that stopped in its stream and wrote an error into it, or that answered a resumption with 200 and an error as the body, had its bytes passed on up to the next empty line, and the stream then ended as complete.

Now a block is an event only with one numeric id, higher than the last one of the response, known fields, and lines that end alike; comments are passed on and not counted. Anything else ends the send, and the stream goes on at another server of its version, or breaks.

--- a/core/src/test/java/org/celerygw/core/events/EventSplitterTest.java
+++ b/core/src/test/java/org/celerygw/core/events/EventSplitterTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public final class EventSplitterTest {
@@ -49,6 +50,50 @@
         assertEquals(text(events.get(0).data()), "x");
     }
 
+    @DataProvider
+    public Object[][] blocks() {
+        return new Object[][] {
+            {"id: 7\ndata: a\n\n", ServerSentEvent.Kind.EVENT},
+            {"id:7\r\ndata:a\r\n\r\n", ServerSentEvent.Kind.EVENT},
+            {"weights: 3\nid: 7\ndata: a\n\n", ServerSentEvent.Kind.EVENT},
+            {"id: 7\nevent: e\nretry: 5\n: comment\n\n", ServerSentEvent.Kind.EVENT},
+            {": comment\n\n", ServerSentEvent.Kind.COMMENT},
+            {"\n", ServerSentEvent.Kind.COMMENT},
+            {"data: a\n\n", ServerSentEvent.Kind.MALFORMED},
+            {"id: x\ndata: a\n\n", ServerSentEvent.Kind.MALFORMED},
+            {"id: 7\nid: 8\n\n", ServerSentEvent.Kind.MALFORMED},
+            {"id: 7\nweights: 3\n\n", ServerSentEvent.Kind.MALFORMED},
+            {"weights: many\nid: 7\n\n", ServerSentEvent.Kind.MALFORMED},
+            {"id: 7\ndata: aHTTP/1.1 500 Error\r\n\r\n", ServerSentEvent.Kind.MALFORMED},
+            {"HTTP/1.1 500 Error\r\nid: 7\r\n\r\n", ServerSentEvent.Kind.MALFORMED},
+            {"error\n\n", ServerSentEvent.Kind.MALFORMED},
+        };
+    }
+
+    @Test(dataProvider = "blocks")
+    public void tellsEventsFromOtherBytesHoweverTheyArrive(String text, ServerSentEvent.Kind kind) {
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+        for (int cut = 0; cut <= bytes.length; cut++) {
+            EventSplitter splitter = new EventSplitter();
+            List<ServerSentEvent> blocks =
+                    new ArrayList<>(splitter.add(text.substring(0, cut).getBytes(StandardCharsets.US_ASCII)));
+            assertEquals(splitter.atEventBoundary(), cut == 0 || cut == bytes.length);
+            blocks.addAll(splitter.add(text.substring(cut).getBytes(StandardCharsets.US_ASCII)));
+            assertEquals(blocks.size(), 1);
+            assertEquals(blocks.get(0).kind(), kind);
+            assertEquals(blocks.get(0).bytes(), bytes);
+            assertEquals(blocks.get(0).id(), kind == ServerSentEvent.Kind.EVENT ? 7 : -1);
+        }
+    }
+
+    @Test
+    public void dataLinesAreJoinedByLineFeeds() {
+        ServerSentEvent event = new EventSplitter()
+                .add("id: 1\ndata: a\ndata:\ndata:  b\n\n".getBytes(StandardCharsets.US_ASCII))
+                .get(0);
+        assertEquals(new String(event.data(), StandardCharsets.US_ASCII), "a\n\n b");
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -150,6 +150,11 @@
         return ended;
     }
 
+    /** Returns the id of the last event of the stream that the client has or is about to get; negative if there is none. */
+    long lastEventId() {
+        return responseWriter.lastEventId();
+    }
+
     /** Returns the id of the server that the request was last sent to; empty before the first send. */
     String lastServerId() {
         return currentServer == null ? "" : currentServer.entry().id();
@@ -337,16 +342,10 @@
         return route.repeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
     }
 
-    /** Returns the id of the last event of the stream that the client has or is about to get; negative if there is none. */
-    long eventsBefore() {
-        return Math.max(responseWriter.lastEventId(), metadata.lastEventId());
-    }
-
     private OriginRequest originRequest(TrackedServer server) {
         HttpHeaders headers = Headers.copy(request.headers(), forwarder.dialect::isForwardable);
         forwarder.dialect.addForwardingHeaders(
-                headers,
-                new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), eventsBefore()));
+                headers, new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), lastEventId()));
         return new OriginRequest(request.method(), request.uri(), headers, turn.requestBody());
     }
 
@@ -468,8 +467,8 @@
             if (serverFirstByteMs == 0) {
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
-            if (!ended && verdict == Verdict.PASS) {
-                responseWriter.onBody(bytes);
+            if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
+                onMalformedBody();
             }
         }
 
@@ -510,6 +509,14 @@
             }
         }
 
+        private void onMalformedBody() {
+            if (pendingRequest != null) {
+                pendingRequest.cancel();
+            }
+            server.recordFailure(forwarder.clock.nowMs());
+            onResponseLost(server, "malformed");
+        }
+
         private void onPassed() {
             if (!responseWriter.isComplete()) {
                 server.recordFailure(forwarder.clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -56,7 +56,7 @@
                 .addKeyValue("server", server.entry().id())
                 .addKeyValue("serverVersion", server.entry().softwareVersion())
                 .addKeyValue("serverLoad", server.load())
-                .addKeyValue("eventsBefore", exchange.eventsBefore())
+                .addKeyValue("lastEventId", exchange.lastEventId())
                 .addKeyValue("resumes", exchange.metadata.resumedAttempt())
                 .addKeyValue("queuedMs", exchange.queuedMs())
                 .addKeyValue("leftMs", exchange.remainingMs())
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -22,18 +22,21 @@
     private @Nullable HttpHeaders headers;
     private int status;
     private boolean streaming;
-    private long lastEventId = -1;
+    private long lastEventId;
+    private long lastIdOfResponse;
     private int receivedEvents;
+    private int deliveredEvents;
 
     ResponseWriter(Exchange exchange, ProgramTurn turn) {
         this.exchange = exchange;
         this.turn = turn;
+        this.lastEventId = exchange.metadata.lastEventId();
         turn.onDeliveryAllowed(this::flush);
     }
 
     /** Returns the number of events sent to the client. */
     int deliveredEvents() {
-        return receivedEvents - pendingEvents.size();
+        return deliveredEvents;
     }
 
     /** Returns the number of events received from servers. */
@@ -46,6 +49,7 @@
         return streaming;
     }
 
+    /** Returns the id of the last event of the stream that the client has or is about to get; negative if there is none. */
     long lastEventId() {
         return lastEventId;
     }
@@ -56,6 +60,7 @@
     }
 
     void onHead(HttpResponse head, ResponseMetadata response) {
+        lastIdOfResponse = -1;
         boolean resumed = streaming && response.isSuccessful();
         if (resumed) {
             // A stream resumed at another server keeps the status and headers of the first response.
@@ -68,22 +73,46 @@
         bufferedBody.reset();
     }
 
-    void onBody(byte[] bytes) {
+    /** Adds a part of the body; returns false if it is no valid part of an event stream. */
+    boolean onBody(byte[] bytes) {
         if (!streaming) {
             bufferedBody.writeBytes(bytes);
-            return;
+            return true;
         }
-        for (ServerSentEvent event : splitter.add(bytes)) {
-            if (event.id() >= 0 && event.id() <= lastEventId) {
-                continue;
+        boolean valid = splitter.add(bytes).stream().allMatch(this::addBlock);
+        flush();
+        return valid;
+    }
+
+    private boolean addBlock(ServerSentEvent block) {
+        switch (block.kind()) {
+            case EVENT -> {
+                if (block.id() <= lastIdOfResponse) {
+                    return false;
+                }
+                lastIdOfResponse = block.id();
+                if (block.id() > lastEventId) {
+                    addEvent(block);
+                }
+                return true;
+            }
+            case COMMENT -> {
+                pendingEvents.add(block.bytes());
+                return true;
+            }
+            case MALFORMED -> {
+                return false;
             }
-            lastEventId = Math.max(lastEventId, event.id());
-            eventData.writeBytes(event.data());
-            eventData.write('\n');
-            receivedEvents++;
-            pendingEvents.add(event.bytes());
         }
-        flush();
+        return false;
+    }
+
+    private void addEvent(ServerSentEvent event) {
+        lastEventId = event.id();
+        eventData.writeBytes(event.data());
+        eventData.write('\n');
+        receivedEvents++;
+        pendingEvents.add(event.bytes());
     }
 
     /** Returns whether no partial event is pending; always true for a response that is not a stream. */
@@ -101,7 +130,7 @@
         if (!exchange.clientResponse.started()) {
             streaming = false;
             headers = null;
-            lastEventId = -1;
+            lastEventId = exchange.metadata.lastEventId();
             receivedEvents = 0;
             eventData.reset();
             pendingEvents.clear();
@@ -138,6 +167,7 @@
         }
         pendingEvents.forEach(exchange.clientResponse::sendBody);
         pendingEvents.clear();
+        deliveredEvents = receivedEvents;
     }
 
     /** Sends the head of a stream to the client, unless it was sent before. */
