Bound what a host reads and keeps of a response

A server that sends bytes without end, in a body, in responses to other requests or in a stream, kept a connection and a host's memory busy: bodies were collected without a limit, and the response to a request that may not be cancelled was read on after its client had left, for as long as the server sent.

Now a response has at most 4 MiB and all in flight together 24 MiB; a connection skips at most 16 responses and 4 MiB that belong to no request; what is still sent at the deadline is cut. Events are collected only for turns that are stored.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -297,6 +297,7 @@
 
     private void markEnded() {
         ended = true;
+        responseWriter.release();
         if (engineWait != null) {
             engineWait.cancel();
             engineWait = null;
@@ -360,6 +361,8 @@
 
     private void onDeadline() {
         if (ended) {
+            // The client of a request that may not be cancelled has left; its server may go on sending without end.
+            cancelPendingRequest();
             return;
         }
         if (pendingRequest != null
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.limits.ByteQuota;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ResponseTimeAverages;
 import org.celerygw.core.routes.Route;
@@ -30,6 +31,7 @@
 public final class Forwarder implements RequestHandler {
     private static final long NO_CONFIG_RETRY_AFTER_MS = 300;
     private static final long QUEUE_POLL_INTERVAL_MS = 10;
+    private static final long MAX_RESPONSE_BYTES_IN_FLIGHT = 24L << 20;
 
     final Clock clock;
     final Scheduler scheduler;
@@ -41,6 +43,7 @@
     final RequestLog requestLog;
     final EngineQueue engineQueue;
     final Quarantine quarantine;
+    final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -79,6 +79,11 @@
         versionGuard.onSend(softwareVersion, reservationConfirmed);
     }
 
+    /** Returns whether the turn's events are stored. */
+    boolean storesTurn() {
+        return storesTurn;
+    }
+
     /** Returns the id of the server that ran the previous turn; empty when there is none. */
     String previousServerId() {
         return chain == null ? "" : chain.lastServer();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -13,6 +13,8 @@
 
 /** Writes the response to the client: a stream event by event, any other response once its body is complete. */
 final class ResponseWriter {
+    private static final long MAX_RESPONSE_BYTES = 4L << 20;
+
     private final Exchange exchange;
     private final ProgramTurn turn;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
@@ -26,6 +28,7 @@
     private long lastIdOfResponse;
     private int receivedEvents;
     private int deliveredEvents;
+    private long heldBytes;
 
     ResponseWriter(Exchange exchange, ProgramTurn turn) {
         this.exchange = exchange;
@@ -73,8 +76,13 @@
         bufferedBody.reset();
     }
 
-    /** Adds a part of the body; returns false if it is no valid part of an event stream. */
+    /** Adds a part of the body; returns false if the response is too long or no valid event stream where one is expected. */
     boolean onBody(byte[] bytes) {
+        if (heldBytes + bytes.length > MAX_RESPONSE_BYTES
+                || !exchange.forwarder.responseBytes.tryAcquire(bytes.length)) {
+            return false;
+        }
+        heldBytes += bytes.length;
         if (!streaming) {
             bufferedBody.writeBytes(bytes);
             return true;
@@ -109,8 +117,10 @@
 
     private void addEvent(ServerSentEvent event) {
         lastEventId = event.id();
-        eventData.writeBytes(event.data());
-        eventData.write('\n');
+        if (turn.storesTurn()) {
+            eventData.writeBytes(event.data());
+            eventData.write('\n');
+        }
         receivedEvents++;
         pendingEvents.add(event.bytes());
     }
@@ -127,6 +137,7 @@
     void discardPartial() {
         splitter = new EventSplitter();
         bufferedBody.reset();
+        release();
         if (!exchange.clientResponse.started()) {
             streaming = false;
             headers = null;
@@ -137,6 +148,12 @@
         }
     }
 
+    /** Gives back the memory quota that the response holds; called when the exchange has ended. */
+    void release() {
+        exchange.forwarder.responseBytes.release(heldBytes);
+        heldBytes = 0;
+    }
+
     void finish() {
         HttpHeaders responseHeaders = Objects.requireNonNull(headers);
         if (!streaming) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -26,6 +26,9 @@
  * request, and after the response in flight when that is a response to another one.
  */
 final class OriginChannel extends ChannelInboundHandlerAdapter {
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+    private static final long MAX_SKIPPED_BYTES = 4L << 20;
+
     private final OriginPool pool;
     private @Nullable ChannelHandlerContext ctx;
     private @Nullable Exchange pending;
@@ -34,6 +37,8 @@
     private boolean keepAlive;
     private boolean responseComplete;
     private boolean hadForeignResponse;
+    private int skippedResponses;
+    private long skippedBytes;
     private boolean closed;
     private long idleSinceMs;
     private long serverKeepAliveMs = Long.MAX_VALUE;
@@ -85,6 +90,8 @@
         pending = next;
         responseComplete = false;
         skippingResponse = false;
+        skippedResponses = 0;
+        skippedBytes = 0;
         if (ctx != null && ctx.channel().isActive()) {
             write(next);
         }
@@ -205,6 +212,9 @@
             readKeepAliveTimeout(head);
             if (!skippingResponse) {
                 current.handler.onHead(head);
+            } else if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
+                fail();
+                close();
             }
         }
         if (object instanceof HttpContent content && !current.finished) {
@@ -213,7 +223,13 @@
     }
 
     private void handleContent(Exchange current, HttpContent content) {
-        if (!skippingResponse && content.content().isReadable()) {
+        if (skippingResponse) {
+            skippedBytes += content.content().readableBytes();
+            if (skippedBytes > MAX_SKIPPED_BYTES) {
+                fail();
+                close();
+            }
+        } else if (content.content().isReadable()) {
             current.handler.onBody(ByteBufUtil.getBytes(content.content()));
         }
         if (!(content instanceof LastHttpContent) || current.finished) {
