Send through peers where a host's own links to the servers are lost

Cause: a host had one way to a server and could not tell lost links from servers that are down; 173 to 278 sends of each such host ended unreachable within eight seconds, none at the others. Class of fault: a single path where peers have others.

Change: only the connection to the server may be a peer's; everything is decided by the host that holds the request. A request goes to a peer only while nothing of it was sent, in one hop, bounded in requests and peers. Lost links are found by failed connections to several servers in a row, and by a test when requests are in flight and nothing arrives.

--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -530,6 +530,21 @@
     return suspects_.get(index);
   }
 
+  public static final int CUT_OFF_FIELD_NUMBER = 14;
+  private boolean cutOff_ = false;
+  /**
+   * <pre>
+   * this host reaches no backend server over its own connections
+   * </pre>
+   *
+   * <code>bool cut_off = 14;</code>
+   * @return The cutOff.
+   */
+  @java.lang.Override
+  public boolean getCutOff() {
+    return cutOff_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -591,6 +606,9 @@
     for (int i = 0; i < suspects_.size(); i++) {
       output.writeMessage(13, suspects_.get(i));
     }
+    if (cutOff_ != false) {
+      output.writeBool(14, cutOff_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -673,6 +691,10 @@
           }
           size += 1 * count;
         }
+    if (cutOff_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, cutOff_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -720,6 +742,8 @@
     }
     if (!getSuspectsList()
         .equals(other.getSuspectsList())) return false;
+    if (getCutOff()
+        != other.getCutOff()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -773,6 +797,9 @@
       hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
       hash = (53 * hash) + getSuspectsList().hashCode();
     }
+    hash = (37 * hash) + CUT_OFF_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCutOff());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -968,6 +995,7 @@
         suspectsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00001000);
+      cutOff_ = false;
       return this;
     }
 
@@ -1064,6 +1092,9 @@
             : permitReplyBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.cutOff_ = cutOff_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1176,6 +1207,9 @@
           }
         }
       }
+      if (other.getCutOff() != false) {
+        setCutOff(other.getCutOff());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1303,6 +1337,11 @@
               }
               break;
             } // case 106
+            case 112: {
+              cutOff_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2839,6 +2878,50 @@
       return suspectsBuilder_;
     }
 
+    private boolean cutOff_ ;
+    /**
+     * <pre>
+     * this host reaches no backend server over its own connections
+     * </pre>
+     *
+     * <code>bool cut_off = 14;</code>
+     * @return The cutOff.
+     */
+    @java.lang.Override
+    public boolean getCutOff() {
+      return cutOff_;
+    }
+    /**
+     * <pre>
+     * this host reaches no backend server over its own connections
+     * </pre>
+     *
+     * <code>bool cut_off = 14;</code>
+     * @param value The cutOff to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCutOff(boolean value) {
+
+      cutOff_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * this host reaches no backend server over its own connections
+     * </pre>
+     *
+     * <code>bool cut_off = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCutOff() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      cutOff_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -284,4 +284,14 @@
    */
   org.celerygw.core.gen.peers.CrashSuspectOrBuilder getSuspectsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * this host reaches no backend server over its own connections
+   * </pre>
+   *
+   * <code>bool cut_off = 14;</code>
+   * @return The cutOff.
+   */
+  boolean getCutOff();
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -91,7 +91,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013peers.proto\022\016celerygw.peers\032\013store.pro" +
-      "to\"\343\003\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
+      "to\"\364\003\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
       "rsion\030\002 \001(\003\022\025\n\rstore_answers\030\003 \001(\010\022\020\n\010st" +
       "ore_ms\030\004 \001(\005\022\017\n\007leaving\030\005 \001(\010\022)\n\005loads\030\006" +
       " \003(\0132\032.celerygw.peers.ServerLoad\022\014\n\004zone" +
@@ -101,36 +101,36 @@
       "\013 \001(\0132\035.celerygw.peers.PermitRequest\0221\n\014" +
       "permit_reply\030\014 \001(\0132\033.celerygw.peers.Perm" +
       "itReply\022.\n\010suspects\030\r \003(\0132\034.celerygw.pee" +
-      "rs.CrashSuspect\032G\n\014WaitingEntry\022\013\n\003key\030\001" +
-      " \001(\t\022&\n\005value\030\002 \001(\0132\027.celerygw.peers.Wai" +
-      "ting:\0028\001\"\205\001\n\014CrashSuspect\022\017\n\007request\030\001 \001" +
-      "(\006\022\014\n\004path\030\002 \001(\010\022(\n\004runs\030\003 \003(\0132\032.celeryg" +
-      "w.peers.CrashedRun\022\026\n\016success_age_ms\030\004 \001" +
-      "(\003\022\024\n\014probe_age_ms\030\005 \001(\003\"[\n\nCrashedRun\022\016" +
-      "\n\006server\030\001 \001(\007\022\023\n\013sent_age_ms\030\002 \001(\003\022\024\n\014e" +
-      "nded_age_ms\030\003 \001(\003\022\022\n\nhad_result\030\004 \001(\010\"X\n" +
-      "\rPermitRequest\022\n\n\002id\030\001 \001(\003\022\016\n\006server\030\002 \001" +
-      "(\t\022\023\n\013limit_per_s\030\003 \001(\001\022\026\n\016returns_unuse" +
-      "d\030\004 \001(\010\"X\n\013PermitReply\022\n\n\002id\030\001 \001(\003\022,\n\006re" +
-      "sult\030\002 \001(\0162\034.celerygw.peers.PermitResult" +
-      "\022\017\n\007wait_ms\030\003 \001(\005\",\n\007Waiting\022\021\n\tunder_wa" +
-      "y\030\001 \001(\005\022\016\n\006others\030\002 \001(\005\"l\n\nServerLoad\022\016\n" +
-      "\006server\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010doub" +
-      "tful\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014limit" +
-      "_age_ms\030\005 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartiti" +
-      "on\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.store" +
-      ".WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celerygw" +
-      ".store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.cel" +
-      "erygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\tH" +
-      "\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001 " +
-      "\001(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004row" +
-      "s\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n\004" +
-      "feed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B\007" +
-      "\n\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n\004" +
-      "rows\030\002 \003(\0132\030.celerygw.store.TableRow*5\n\014" +
-      "PermitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020\001" +
-      "\022\t\n\005LATER\020\002B\037\n\033org.celerygw.core.gen.pee" +
-      "rsP\001b\006proto3"
+      "rs.CrashSuspect\022\017\n\007cut_off\030\016 \001(\010\032G\n\014Wait" +
+      "ingEntry\022\013\n\003key\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.c" +
+      "elerygw.peers.Waiting:\0028\001\"\205\001\n\014CrashSuspe" +
+      "ct\022\017\n\007request\030\001 \001(\006\022\014\n\004path\030\002 \001(\010\022(\n\004run" +
+      "s\030\003 \003(\0132\032.celerygw.peers.CrashedRun\022\026\n\016s" +
+      "uccess_age_ms\030\004 \001(\003\022\024\n\014probe_age_ms\030\005 \001(" +
+      "\003\"[\n\nCrashedRun\022\016\n\006server\030\001 \001(\007\022\023\n\013sent_" +
+      "age_ms\030\002 \001(\003\022\024\n\014ended_age_ms\030\003 \001(\003\022\022\n\nha" +
+      "d_result\030\004 \001(\010\"X\n\rPermitRequest\022\n\n\002id\030\001 " +
+      "\001(\003\022\016\n\006server\030\002 \001(\t\022\023\n\013limit_per_s\030\003 \001(\001" +
+      "\022\026\n\016returns_unused\030\004 \001(\010\"X\n\013PermitReply\022" +
+      "\n\n\002id\030\001 \001(\003\022,\n\006result\030\002 \001(\0162\034.celerygw.p" +
+      "eers.PermitResult\022\017\n\007wait_ms\030\003 \001(\005\",\n\007Wa" +
+      "iting\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 \001(\005" +
+      "\"l\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin_fli" +
+      "ght\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit_per" +
+      "_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\"\301\001\n\013Relay" +
+      "edCall\022\021\n\tpartition\030\001 \001(\005\022-\n\005write\030\002 \001(\013" +
+      "2\034.celerygw.store.WriteRequestH\000\022+\n\004read" +
+      "\030\003 \001(\0132\033.celerygw.store.ReadRequestH\000\022+\n" +
+      "\004scan\030\004 \001(\0132\033.celerygw.store.ScanRequest" +
+      "H\000\022\016\n\004feed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014RelayedRe" +
+      "ply\022-\n\007written\030\001 \001(\0132\032.celerygw.store.Wr" +
+      "iteReplyH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw.stor" +
+      "e.RowsReplyH\000\022(\n\004feed\030\003 \001(\0132\030.celerygw.p" +
+      "eers.FeedRowsH\000B\007\n\005reply\"C\n\010FeedRows\022\017\n\007" +
+      "version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celerygw.s" +
+      "tore.TableRow*5\n\014PermitResult\022\r\n\tELSEWHE" +
+      "RE\020\000\022\013\n\007GRANTED\020\001\022\t\n\005LATER\020\002B\037\n\033org.cele" +
+      "rygw.core.gen.peersP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -142,7 +142,7 @@
     internal_static_celerygw_peers_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_descriptor,
-        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", });
+        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", "CutOff", });
     internal_static_celerygw_peers_Digest_WaitingEntry_descriptor =
       internal_static_celerygw_peers_Digest_descriptor.getNestedType(0);
     internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable = new
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -30,12 +30,16 @@
 import org.celerygw.core.turns.ExpiredProgramCleaner;
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.forward.Dialect;
 import org.celerygw.gateway.forward.Forwarder;
 import org.celerygw.gateway.forward.OriginPools;
 import org.celerygw.gateway.forward.RequestLog;
+import org.celerygw.gateway.forward.ServerLinks;
+import org.celerygw.gateway.forward.ServerRelay;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.net.HttpListener;
+import org.celerygw.gateway.net.OriginPool;
 import org.celerygw.gateway.peers.Peers;
 import org.celerygw.gateway.peers.StoreHealth;
 import org.celerygw.gateway.watch.RowFeed;
@@ -76,6 +80,7 @@
     private final Quarantine quarantine;
     private final ServerSelector serverSelector;
     private final OriginPools originPools;
+    private final ServerLinks links;
     private final EngineQueue engineQueue;
     private final Forwarder forwarder;
     private final Metrics metrics;
@@ -127,6 +132,8 @@
         List<Table> partitions = adapter.partitions(settings.partitions()).stream()
                 .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
                 .toList();
+        Dialect dialect = adapter.dialect();
+        this.links = new ServerLinks(clock, scheduler, dialect, servers, originPools, this::serverRelays);
         this.peers = new Peers(
                 loop,
                 clock,
@@ -143,7 +150,8 @@
                 servers,
                 health,
                 new PeersLocalState(),
-                permits);
+                permits,
+                new ServerRelay(links, servers, scheduler));
         configurationWatch.setPeerSource(callback -> peers.readFeed(CONFIGURATION_FEED, callback));
         serverWatch.setPeerSource(callback -> peers.readFeed(SERVER_FEED, callback));
         ProgramStore programStore = new ProgramStore(
@@ -158,16 +166,18 @@
                 new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
                         .nextDouble());
         metrics.registerQueue(engineQueue);
+        metrics.registerLinks(links);
         metrics.registerServerProtection(servers, permits, quarantine, clock);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
-                adapter.dialect(),
+                dialect,
                 () -> routes,
                 servers,
                 serverSelector,
                 engineQueue,
                 originPools,
+                links,
                 programStore,
                 quarantine,
                 new RequestLog(registry),
@@ -179,6 +189,10 @@
         serverWatch.start();
     }
 
+    private List<OriginPool> serverRelays() {
+        return peers.serverRelays();
+    }
+
     private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
         return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
     }
@@ -200,6 +214,7 @@
                 if (r.succeeded()) {
                     gateway.sweep();
                     gateway.cleanUp();
+                    gateway.links.start();
                     LOG.atInfo()
                             .addKeyValue("host", settings.host())
                             .addKeyValue("zone", settings.zone())
@@ -411,6 +426,11 @@
                     .log("quarantine: a peer tells of a request under which servers have crashed"));
         }
 
+        @Override
+        public boolean cutOff() {
+            return links.isCutOff();
+        }
+
         @Override
         public boolean leaving() {
             return stopping;
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -17,6 +17,7 @@
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.ProgramStore;
+import org.celerygw.gateway.forward.ServerLinks;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.peers.Peers;
@@ -71,6 +72,18 @@
                         .sum());
     }
 
+    /** Registers the metrics of the links to the backend servers. */
+    void registerLinks(ServerLinks links) {
+        registerGauge(
+                "celerygw_cut_off",
+                "1 while no backend server is reached over this host's connections",
+                () -> links.isCutOff() ? 1 : 0);
+        registerCounter(
+                "celerygw_requests_through_peers_total",
+                "Requests that this host sent to a backend server through a peer",
+                links::relayedRequests);
+    }
+
     /** Registers the metrics of the servers' request limits and of the requests under which servers have crashed. */
     void registerServerProtection(ServerList servers, Permits permits, Quarantine quarantine, Clock clock) {
         registerGauge(
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -218,14 +218,13 @@
         forwarder.requestLog.logSend(this, server);
         sentMs = forwarder.clock.nowMs();
         lastReceivedMs = sentMs;
-        pendingRequest = forwarder
-                .originPools
-                .poolFor(server)
-                .send(
-                        originRequest(server),
-                        h -> forwarder.dialect.matchesRequest(h, metadata.id()),
-                        maxConnectionIdleMs(),
-                        new BackendResponseHandler(server));
+        pendingRequest = forwarder.links.send(
+                server,
+                originRequest(server),
+                metadata.id(),
+                Math.max(1, remainingMs()),
+                maxConnectionIdleMs(),
+                new BackendResponseHandler(server));
         if (route.repeatable()) {
             watchForSilence(pendingRequest, server);
         }
@@ -495,7 +494,9 @@
         public void onFailure(boolean sent) {
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
-                crashGuard.onBrokenOff(server, responseWriter.receivedEvents() - eventsBefore);
+                if (!forwarder.links.prefersPeers(server)) {
+                    crashGuard.onBrokenOff(server, responseWriter.receivedEvents() - eventsBefore);
+                }
                 onResponseLost(server, "broken");
             } else {
                 onNotExecuted(server, "unreachable");
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -39,6 +39,7 @@
     final ServerList servers;
     final ServerSelector serverSelector;
     final OriginPools originPools;
+    final ServerLinks links;
     final ProgramStore programStore;
     final RequestLog requestLog;
     final EngineQueue engineQueue;
@@ -62,6 +63,7 @@
      * @param serverSelector selects a backend server for each send
      * @param engineQueue decides which request to an engine starts, waits or is refused
      * @param originPools the connections to the backend servers
+     * @param links sends requests over these connections or through peers
      * @param programStore reserves and settles token budgets and stores turns
      * @param quarantine the requests under which servers have crashed
      * @param requestLog logs and counts sends and ends of requests
@@ -77,6 +79,7 @@
             ServerSelector serverSelector,
             EngineQueue engineQueue,
             OriginPools originPools,
+            ServerLinks links,
             ProgramStore programStore,
             Quarantine quarantine,
             RequestLog requestLog,
@@ -90,6 +93,7 @@
         this.serverSelector = serverSelector;
         this.engineQueue = engineQueue;
         this.originPools = originPools;
+        this.links = links;
         this.programStore = programStore;
         this.quarantine = quarantine;
         this.requestLog = requestLog;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Closes all idle connections, since this host has lost its links to the servers. */
+    public void closeAllIdle() {
+        poolsByServer.values().forEach(OriginPool::closeIdle);
+    }
+
     /** Closes connections whose idle time exceeds the limit. */
     public void closeExpired() {
         poolsByServer.values().forEach(OriginPool::sweep);
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -13,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.celerygw.core.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +27,7 @@
     private static final int MAX_HEAD_BYTES = 32_768;
 
     private final Bootstrap bootstrap;
+    private final String address;
     private final Clock clock;
     private final Limits limits;
     private final Deque<OriginChannel> idle = new ArrayDeque<>();
@@ -58,6 +61,7 @@
     public OriginPool(EventLoop loop, Clock clock, String ip, int port, Limits limits) {
         this.clock = clock;
         this.limits = limits;
+        this.address = ip + ":" + port;
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -82,8 +86,17 @@
             return reused.start(request, responseFilter, handler);
         }
         OriginChannel created = new OriginChannel(this);
+        open(created).addListener(connected -> {
+            if (!connected.isSuccess()) {
+                created.onConnectFailure();
+            }
+        });
+        return created.start(request, responseFilter, handler);
+    }
+
+    private ChannelFuture open(OriginChannel created) {
         connectionsOpened++;
-        bootstrap
+        return bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -94,13 +107,31 @@
                         channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder(config), created);
                     }
                 })
-                .connect()
-                .addListener(connected -> {
-                    if (!connected.isSuccess()) {
-                        created.onConnectFailure();
-                    }
-                });
-        return created.start(request, responseFilter, handler);
+                .connect();
+    }
+
+    /**
+     * Opens a connection and keeps it for later requests.
+     *
+     * @param callback called with whether the connection was established
+     */
+    public void probe(Consumer<Boolean> callback) {
+        OriginChannel created = new OriginChannel(this);
+        open(created).addListener(connected -> {
+            if (connected.isSuccess()) {
+                release(created);
+            }
+            callback.accept(connected.isSuccess());
+        });
+    }
+
+    /**
+     * Returns the origin's address.
+     *
+     * @return IP address and port
+     */
+    public String address() {
+        return address;
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -27,7 +28,12 @@
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.forward.ServerRelay;
+import org.celerygw.gateway.net.ClientRequest;
+import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.net.HttpListener;
+import org.celerygw.gateway.net.OriginPool;
+import org.celerygw.gateway.net.RequestHandler;
 import org.celerygw.gateway.watch.RowFeed;
 
 /**
@@ -40,6 +46,9 @@
     private static final long HOST_TABLE_REFRESH_MS = 10_000;
     private static final int FAST_STORE_MS = 90;
     private static final int MAX_HOSTS = 1_000;
+    private static final int SERVER_RELAYS = 6;
+    private static final int SERVER_RELAYS_PER_REQUEST = 2;
+    private static final int RENDEZVOUS_FACTOR = 0x9E3779B1;
     private static final String ROW_PREFIX = "host/";
 
     private final EventLoop loop;
@@ -53,6 +62,7 @@
     private final PeerTable peers;
     private final DigestExchange digests;
     private final LocalState localState;
+    private final RequestHandler serverRelay;
     private int nextRelayIndex;
     private boolean knowsHosts;
     private long relayedCalls;
@@ -102,6 +112,13 @@
          */
         void onCrashSuspects(String peer, List<CrashSuspect> suspects);
 
+        /**
+         * Returns whether this host reaches no backend server over its own connections.
+         *
+         * @return true when peers should send no requests to servers through this host
+         */
+        boolean cutOff();
+
         /**
          * Returns whether this host is stopping.
          *
@@ -138,6 +155,7 @@
      * @param health whether and how quickly the store answers this host
      * @param localState the state of this host to report
      * @param permits the permits that hosts ask each other for
+     * @param serverRelay handles the requests to backend servers that peers send through this host
      */
     public Peers(
             EventLoop loop,
@@ -153,7 +171,8 @@
             ServerList servers,
             StoreHealth health,
             LocalState localState,
-            Permits permits) {
+            Permits permits,
+            RequestHandler serverRelay) {
         this.loop = loop;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -162,6 +181,7 @@
         this.hostTable = hostTable;
         this.health = health;
         this.localState = localState;
+        this.serverRelay = serverRelay;
         this.relay = new Relay(scheduler, direct, feeds);
         this.peers = new PeerTable(loop, clock, self);
         this.digests = new DigestExchange(
@@ -199,6 +219,7 @@
                 .setStoreAnswers(health.isAnswering())
                 .setStoreMs(health.smoothedLatencyMs())
                 .setLeaving(localState.leaving())
+                .setCutOff(localState.cutOff())
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
                 .addAllStarted(localState.recentlyStarted())
                 .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
@@ -234,7 +255,7 @@
     public Future<Void> start() {
         return digests.bind(loop, self)
                 .compose(v -> HttpListener.start(
-                        loop, clock, self.getAddress().getHostAddress(), self.getPort(), relay::serve))
+                        loop, clock, self.getAddress().getHostAddress(), self.getPort(), this::serve))
                 .map(l -> {
                     register();
                     runRound();
@@ -242,6 +263,32 @@
                 });
     }
 
+    private void serve(ClientRequest request, ClientResponse response) {
+        if (ServerRelay.isRelayed(request)) {
+            serverRelay.handle(request, response);
+        } else {
+            relay.serve(request, response);
+        }
+    }
+
+    /**
+     * Returns the hosts through which the next request to a backend server may be sent: live ones that reach the servers.
+     * Each host uses few of them, so that its connections to them are kept, and different ones than other hosts do.
+     *
+     * @return at most {@value #SERVER_RELAYS_PER_REQUEST} hosts, in the order in which to try them
+     */
+    public List<OriginPool> serverRelays() {
+        List<Peer> relays = peers.live()
+                .filter(p -> !p.digest.getCutOff() && !p.digest.getLeaving())
+                .sorted(Comparator.comparingInt(p -> Objects.hash(host, p.digest.getHost()) * RENDEZVOUS_FACTOR))
+                .limit(SERVER_RELAYS)
+                .toList();
+        nextRelayIndex++;
+        return IntStream.range(0, Math.min(SERVER_RELAYS_PER_REQUEST, relays.size()))
+                .mapToObj(i -> relays.get(Math.floorMod(nextRelayIndex + i, relays.size())).originPool)
+                .toList();
+    }
+
     /**
      * Reads all rows of a feed from a peer.
      *
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -95,6 +95,7 @@
                 serverSelector,
                 new EngineQueue(servers, serverSelector, service -> QueueLength.NONE, () -> 0.5),
                 originPools,
+                new ServerLinks(clock, scheduler, new TestDialect(), servers, originPools, PeerRoute.NONE),
                 new ProgramStore(partitions, "host" + hostCount++, clock, scheduler, 60_000, 1_000_000),
                 new Quarantine("host"),
                 new RequestLog(new PrometheusRegistry()),
