Send no request to a server that has said in a response that it leaves

A server that leaves may say so only in its responses while its entry says ready or the store is silent; requests went on being sent to it. Now a response that is signed or states that the request was not executed, with exactly one header that says so, takes that incarnation out of use at this host, also when it was passed on for a peer. Other values mean nothing.

--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -15,6 +15,7 @@
 
     private BackendServer entry;
     private boolean hasLeft;
+    private boolean leaving;
     private int inFlight;
     private double peersInFlight;
     private int consecutiveFailures;
@@ -40,10 +41,22 @@
     /**
      * Returns whether new requests may be sent.
      *
-     * @return false if the server is draining or has left
+     * @return false if the server is draining, has said that it leaves, or has left
      */
     public boolean isUsable() {
-        return !hasLeft && !entry.draining();
+        return !hasLeft && !leaving && !entry.draining();
+    }
+
+    /**
+     * Records that the server has said in a response that it leaves. That is permanent for this incarnation, whatever its
+     * entry says.
+     *
+     * @return true if it had not said so before
+     */
+    public boolean markLeaving() {
+        boolean first = !leaving;
+        leaving = true;
+        return first;
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -148,6 +148,18 @@
         });
     }
 
+    /** A server that leaves gets no request any more; those in flight there end as they would. */
+    private void recordLeaving(TrackedServer server, HttpResponse head) {
+        ResponseMetadata response = dialect.parseResponse(head);
+        if (response.leaving() && response.isCredible() && server.markLeaving()) {
+            originPools.poolFor(server).closeIdle();
+            LOG.atInfo()
+                    .addKeyValue("server", server.entry().id())
+                    .addKeyValue("status", response.status())
+                    .log("servers: a server says that it leaves; no more requests are sent to it");
+        }
+    }
+
     private void onReached(TrackedServer server) {
         if (reachability.onReached(server, clock.nowMs())) {
             LOG.atInfo()
@@ -266,6 +278,7 @@
             @Override
             public void onHead(HttpResponse head) {
                 onReached(server);
+                recordLeaving(server, head);
                 handler.onHead(head);
             }
 
@@ -301,6 +314,7 @@
             public void onHead(HttpResponse head) {
                 notSent = head.headers().contains(RelayHeaders.NOT_SENT);
                 if (!notSent) {
+                    recordLeaving(server, head);
                     handler.onHead(head);
                 }
             }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -50,6 +50,7 @@
                 head.headers().contains("not-run"),
                 head.headers().contains("signed"),
                 head.headers().contains("content-encoding"),
+                "1".equals(head.headers().get("leaving")),
                 Double.parseDouble(head.headers().get("limit", "Infinity")));
     }
 
