Look for a peer only when a request needs one

Each send sorted the live peers although nearly none goes through one; on a large fleet that is work for nothing. The hosts to send through are now asked for when the first connection has failed or the links are known to be lost.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.IntStream;
@@ -112,7 +113,7 @@
             long timeoutMs,
             long maxIdleMs,
             ResponseHandler handler) {
-        Send send = new Send(server, request, requestId, timeoutMs, maxIdleMs, handler);
+        Send send = new Send(server, request, requestId, timeoutMs, maxIdleMs, handler, true);
         send.start(reachability.prefersPeers(server, clock.nowMs()));
         return send;
     }
@@ -120,7 +121,7 @@
     /** Sends a request over a connection of this host, whatever is known of its links; never through a peer. */
     OriginPool.PendingRequest sendDirect(
             TrackedServer server, OriginRequest request, String requestId, long maxIdleMs, ResponseHandler handler) {
-        Send send = new Send(server, request, requestId, 0, maxIdleMs, handler);
+        Send send = new Send(server, request, requestId, 0, maxIdleMs, handler, false);
         send.startDirect();
         return send;
     }
@@ -188,7 +189,8 @@
         private final long timeoutMs;
         private final long maxIdleMs;
         private final ResponseHandler handler;
-        private final Deque<OriginPool> peers = new ArrayDeque<>();
+        private final boolean mayUsePeers;
+        private @Nullable Deque<OriginPool> peers;
         private OriginPool.@Nullable PendingRequest pending;
         private long directSinceMs;
         private boolean directTried;
@@ -201,18 +203,19 @@
                 String requestId,
                 long timeoutMs,
                 long maxIdleMs,
-                ResponseHandler handler) {
+                ResponseHandler handler,
+                boolean mayUsePeers) {
             this.server = server;
             this.request = request;
             this.requestId = requestId;
             this.timeoutMs = timeoutMs;
             this.maxIdleMs = maxIdleMs;
             this.handler = handler;
+            this.mayUsePeers = mayUsePeers;
         }
 
         void start(boolean peersFirst) {
-            peers.addAll(peerRoute.next());
-            if (peersFirst && !peers.isEmpty()) {
+            if (peersFirst && hasPeer()) {
                 tryNextPeer();
             } else {
                 startDirect();
@@ -234,7 +237,7 @@
             if (cancelled) {
                 return;
             }
-            if (anotherWay && !peers.isEmpty()) {
+            if (anotherWay && hasPeer()) {
                 tryNextPeer();
             } else if (anotherWay && !directTried && !reachability.isCutOff()) {
                 startDirect();
@@ -243,8 +246,16 @@
             }
         }
 
+        /** Asks for peers only when one is needed, which is rare. */
+        private boolean hasPeer() {
+            if (peers == null) {
+                peers = new ArrayDeque<>(mayUsePeers ? peerRoute.next() : List.of());
+            }
+            return !peers.isEmpty();
+        }
+
         private void tryNextPeer() {
-            OriginPool peer = peers.remove();
+            OriginPool peer = Objects.requireNonNull(peers).remove();
             relayedRequests++;
             LOG.atInfo()
                     .addKeyValue("request", requestId)
