--- a/review/src/review/LimitReturn.java
+++ b/review/src/review/LimitReturn.java
@@ -39,9 +39,9 @@
                 own.add(record.nowMs());
             }
             if (named.add(engine.id)) {
-                firstNamedMs[0] = Math.max(firstNamedMs[0], record.nowMs() + 60);
+                firstNamedMs[0] = Math.max(firstNamedMs[0], record.nowMs() + 150);
             }
-            Thread.sleep(60);
+            Thread.sleep(150);
             Engine.beginStream(request, connection, "Server-Limit: " + LIMIT_PER_S + "\r\n");
             for (int i = 1; i <= 11; i++) {
                 connection.chunk(Engine.event(i, "e" + i));
--- a/review/src/review/Load.java
+++ b/review/src/review/Load.java
@@ -32,31 +32,67 @@
     }
 
     private void program(int number) {
-        int count;
-        synchronized (random) {
-            count = 2 + random.nextInt(5);
-        }
-        for (int turn = 0; turn < count; turn++) {
-            Deployment.Host host;
-            synchronized (random) {
-                host = deployment.hosts.get(random.nextInt(deployment.hosts.size()));
+        int count = 2 + draw(5);
+        try {
+            for (int turn = 0; turn < count; turn++) {
+                turns.incrementAndGet();
+                boolean done = false;
+                // A turn that has failed is sent again after .1 to .4 s, at most twice.
+                for (int again = 0; again <= 2 && !done; again++) {
+                    Thread.sleep(again == 0 ? 0 : 100 + draw(300));
+                    done = turn(number, turn);
+                }
+                if (!done) {
+                    return;
+                }
+                served.incrementAndGet();
             }
+        } catch (InterruptedException e) {
+            // Ends.
+        }
+    }
+
+    /** Sends a turn, and once more after a promise that it has not run; returns whether it was served whole. */
+    private boolean turn(int number, int turn) throws InterruptedException {
+        long leftMs = 5_000;
+        for (int attempt = 0; attempt < 2; attempt++) {
+            Deployment.Host host = deployment.hosts.get(draw(deployment.hosts.size()));
             String id = Client.newId();
             String headers = "Celerygw-Model: m\r\nCelerygw-Token-Usage: 1460,80\r\nCelerygw-Program-Id: p" + number
                     + "\r\nCelerygw-Session-Id: s" + number
                     + "\r\nCelerygw-Program-Deadline-Ms: 9000\r\nCelerygw-Token-Budget: 2000\r\n";
-            turns.incrementAndGet();
+            long fromMs = deployment.record.nowMs();
             Client.Answer answer = Client.send(
                     host.ip,
                     deployment.frontPort,
                     Client.request(
-                            "POST", Manifest.RESUMABLE + Integer.toHexString(number), id, 5_000, headers, "turn " + turn),
-                    5_500);
+                            "POST",
+                            Manifest.RESUMABLE + Integer.toHexString(number),
+                            id,
+                            leftMs,
+                            headers,
+                            "turn " + turn),
+                    (int) leftMs + 500);
             deployment.record.line("client " + host.name + " quick " + id + " program p" + number + " -> "
                     + answer.status() + " events " + answer.events().size() + (answer.whole() ? " whole" : " cut"));
             if (answer.status() == 200 && answer.whole()) {
-                served.incrementAndGet();
+                return true;
             }
+            leftMs -= deployment.record.nowMs() - fromMs;
+            if (answer.status() != 503 || leftMs < 100) {
+                return false;
+            }
+            long retryMs = answer.retryAfter().isEmpty() ? 0 : (long) (1_000 * Double.parseDouble(answer.retryAfter()));
+            retryMs = Math.min(retryMs, leftMs / 3);
+            Thread.sleep(retryMs);
+            leftMs -= retryMs;
+        }
+        return false;
+    }
+
+    private int draw(int bound) {
+        synchronized (random) {
+            return random.nextInt(bound);
         }
     }
 }
