--- a/review/src/review/Endless.java
+++ b/review/src/review/Endless.java
@@ -68,7 +68,7 @@
             record.say("engine i-7f3a91c2 is in trouble: " + ENDLESS_ANSWERS + " of its answers do not end");
             begun.set(0);
         }
-        Thread.sleep(startMs + LENGTH_MS + CLIENT_TIMEOUT_MS + 1_000 - record.nowMs());
+        Thread.sleep(Math.max(1, startMs + LENGTH_MS + CLIENT_TIMEOUT_MS + 1_000 - record.nowMs()));
         long unanswered = calls.stream().filter(c -> c.tookMs > ROUTE_TIMEOUT_MS).count();
         long late = calls.stream().filter(c -> c.tookMs > ROUTE_TIMEOUT_MS + SLACK_MS).count();
         for (Deployment.Host host : deployment.hosts) {
--- a/review/src/review/LimitReturn.java
+++ b/review/src/review/LimitReturn.java
@@ -74,7 +74,7 @@
         } else {
             Thread.sleep(CUT_MS);
         }
-        Thread.sleep(startMs + LENGTH_MS - record.nowMs());
+        Thread.sleep(Math.max(1, startMs + LENGTH_MS - record.nowMs()));
         double allowed = 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5;
         Set<String> broken = new HashSet<>();
         for (Engine engine : engines) {
--- a/review/src/review/Reborn.java
+++ b/review/src/review/Reborn.java
@@ -12,14 +12,14 @@
  * under their ids with a newer software version. Counts the answers that hold events of two software versions.
  */
 public final class Reborn {
-    private static final int HOSTS = 6;
+    private static final int HOSTS = 12;
     private static final int ENGINES = 10;
     private static final int EVENTS = 12;
-    private static final long EVENT_MS = 200;
+    private static final long EVENT_MS = 250;
     private static final long LENGTH_MS = 18_000;
     private static final long TROUBLE_AT_MS = 7_000;
     private static final long CUT_MS = 5_000;
-    private static final long GAP_MS = 2_000;
+    private static final long GAP_MS = 3_000;
     private static final long BACK_AFTER_MS = 300;
     private static final int ALLOWED = 2;
 
@@ -63,21 +63,21 @@
                 Http.daemon(() -> lapse(deployment, engine));
             }
             long cutMs = record.nowMs();
-            Thread.sleep(300);
+            Thread.sleep(100);
             for (Engine engine : cut) {
                 record.say(engine.id + " crashes behind the cut, and starts again as v2 under its id");
                 engine.version = "v2";
                 engine.crash(BACK_AFTER_MS);
-                Thread.sleep(GAP_MS);
+                Thread.sleep(engine == cut.get(0) ? GAP_MS : 1);
             }
-            Thread.sleep(cutMs + CUT_MS - record.nowMs());
+            Thread.sleep(Math.max(1, cutMs + CUT_MS - record.nowMs()));
             for (Engine engine : cut) {
                 engine.reaches = () -> true;
                 engine.register();
             }
             record.say("the cut ends");
         }
-        Thread.sleep(startMs + LENGTH_MS + 5_000 - record.nowMs());
+        Thread.sleep(Math.max(1, startMs + LENGTH_MS + 5_000 - record.nowMs()));
         int mixed = 0;
         int whole = 0;
         for (Map.Entry<String, Client.Answer> e : answers.entrySet()) {
--- a/review/src/review/Silent.java
+++ b/review/src/review/Silent.java
@@ -94,7 +94,7 @@
             record.say("engine i-7f3a91c2 is silent for " + SILENT_MS + " ms, and goes on");
             silentFromMs[0] = record.nowMs();
         }
-        Thread.sleep(startMs + LENGTH_MS + 6_000 - record.nowMs());
+        Thread.sleep(Math.max(1, startMs + LENGTH_MS + 6_000 - record.nowMs()));
         int twice = 0;
         for (Map.Entry<String, List<Work>> e : works.entrySet()) {
             List<Work> list = new ArrayList<>(e.getValue());
