--- a/review/src/review/PoisonMany.java
+++ b/review/src/review/PoisonMany.java
@@ -14,7 +14,7 @@
 public final class PoisonMany {
     private static final int HOSTS = 12;
     private static final int ENGINES = 18;
-    private static final int POISONS = 20;
+    private static final int POISONS = 24;
     private static final long STABLE_MS = 3_000;
     private static final long SLACK_MS = 250;
     private static final long LENGTH_MS = 60_000;
