--- a/review/src/review/Endless.java
+++ b/review/src/review/Endless.java
@@ -83,7 +83,7 @@
                 + ", served whole " + load.served);
         boolean broken = late >= MIN_LATE && 2 * late > unanswered;
         record.say(broken ? "BROKEN" : "held");
-        System.exit(broken ? 1 : 0);
+        System.exit(broken ? Run.BROKEN : 0);
     }
 
     private static void sendWithoutEnd(
--- a/review/src/review/PoisonMany.java
+++ b/review/src/review/PoisonMany.java
@@ -85,7 +85,7 @@
         record.say((broken > 0 ? "BROKEN" : "held") + ": " + broken + " of " + POISONS
                 + " harmful requests reached engines in more than 3 retries later than stableMs after their third crash"
                 + " (most: " + most + ")");
-        System.exit(broken > 0 ? 1 : 0);
+        System.exit(broken > 0 ? Run.BROKEN : 0);
     }
 
     private static void harmful(Deployment deployment, int number, long startMs, long untilMs) {
--- a/review/src/review/Reborn.java
+++ b/review/src/review/Reborn.java
@@ -93,7 +93,7 @@
         record.say("streams " + answers.size() + ", whole " + whole);
         record.say((mixed > ALLOWED ? "BROKEN" : "held") + ": " + mixed
                 + " streams hold events of two software versions in one answer");
-        System.exit(mixed > ALLOWED ? 1 : 0);
+        System.exit(mixed > ALLOWED ? Run.BROKEN : 0);
     }
 
     /** Removes the entry of an engine that is still cut after three report intervals of silence. */
--- a/review/src/review/Silent.java
+++ b/review/src/review/Silent.java
@@ -112,6 +112,6 @@
         record.say("turns " + load.turns + ", served whole " + load.served);
         record.say((twice > 0 ? "BROKEN" : "held") + ": " + twice + " streams went on at another engine while the engine"
                 + " before still worked on them 400 ms later");
-        System.exit(twice > 0 ? 1 : 0);
+        System.exit(twice > 0 ? Run.BROKEN : 0);
     }
 }
