--- a/review/src/review/LimitReturn.java
+++ b/review/src/review/LimitReturn.java
@@ -99,6 +99,6 @@
         record.say("turns " + load.turns + ", served whole " + load.served);
         record.say((broken.isEmpty() ? "held" : "BROKEN") + ": engines with more than 1.5 times their limit + 5: "
                 + broken);
-        System.exit(broken.isEmpty() ? 0 : 1);
+        System.exit(broken.isEmpty() ? 0 : Run.BROKEN);
     }
 }
