--- a/core/src/main/java/org/celerygw/core/events/BlockParser.java
+++ b/core/src/main/java/org/celerygw/core/events/BlockParser.java
@@ -26,30 +26,30 @@
     private boolean carriageReturns;
     private boolean malformed;
 
-    /** Adds a line without its end; the last line of a block is empty. */
-    void addLine(byte[] line, boolean carriageReturn) {
+    /** Adds the line from one index to another, without its end; the last line of a block is empty. */
+    void addLine(byte[] bytes, int from, int to, boolean carriageReturn) {
         malformed |= lines > 0 && carriageReturn != carriageReturns;
         carriageReturns = carriageReturn;
         lines++;
-        boolean comment = line.length == 0 || line[0] == ':';
+        boolean comment = from == to || bytes[from] == ':';
         if (!comment) {
-            addField(line);
+            addField(bytes, from, to);
         }
     }
 
-    private void addField(byte[] line) {
+    private void addField(byte[] bytes, int from, int to) {
         fields++;
-        int colon = 0;
-        while (colon < line.length && line[colon] != ':') {
+        int colon = from;
+        while (colon < to && bytes[colon] != ':') {
             colon++;
         }
-        if (colon == line.length) {
+        if (colon == to) {
             malformed = true;
             return;
         }
-        String name = new String(line, 0, colon, StandardCharsets.ISO_8859_1);
-        int from = colon + 1 < line.length && line[colon + 1] == ' ' ? colon + 2 : colon + 1;
-        byte[] value = Arrays.copyOfRange(line, from, line.length);
+        String name = new String(bytes, from, colon - from, StandardCharsets.ISO_8859_1);
+        int valueFrom = colon + 1 < to && bytes[colon + 1] == ' ' ? colon + 2 : colon + 1;
+        byte[] value = Arrays.copyOfRange(bytes, valueFrom, to);
         if (name.equals(ID)) {
             malformed |= id >= 0;
             id = parseNumber(value);
@@ -68,16 +68,30 @@
         data.writeBytes(value);
     }
 
-    ServerSentEvent toEvent(byte[] bytes) {
-        ServerSentEvent.Kind kind = ServerSentEvent.Kind.EVENT;
+    /** Returns what the lines added so far are, provided that they are a whole block. */
+    ServerSentEvent.Kind kind() {
         if (malformed || (fields > 0 && id < 0)) {
-            kind = ServerSentEvent.Kind.MALFORMED;
-        } else if (fields == 0) {
-            kind = ServerSentEvent.Kind.COMMENT;
+            return ServerSentEvent.Kind.MALFORMED;
         }
+        return fields == 0 ? ServerSentEvent.Kind.COMMENT : ServerSentEvent.Kind.EVENT;
+    }
+
+    ServerSentEvent toEvent(byte[] bytes) {
+        ServerSentEvent.Kind kind = kind();
         return new ServerSentEvent(bytes, kind, kind == ServerSentEvent.Kind.EVENT ? id : -1, data.toByteArray());
     }
 
+    /** Begins the next block. */
+    void reset() {
+        data.reset();
+        id = -1;
+        lines = 0;
+        fields = 0;
+        dataLines = 0;
+        carriageReturns = false;
+        malformed = false;
+    }
+
     /** Returns the number, or -1 if the text is not one. */
     private static long parseNumber(byte[] digits) {
         if (digits.length == 0 || digits.length > MAX_NUMBER_DIGITS) {
--- a/core/src/main/java/org/celerygw/core/events/ServerSentEvent.java
+++ b/core/src/main/java/org/celerygw/core/events/ServerSentEvent.java
@@ -1,7 +1,7 @@
 package org.celerygw.core.events;
 
 /**
- * A block of an event stream: the lines up to an empty one.
+ * A block of an event stream: the lines up to an empty one. Comment blocks that follow each other may be one.
  *
  * @param bytes the block as received, including the empty line that ends it
  * @param kind whether the block is an event
@@ -9,6 +9,10 @@
  * @param data its data lines, separated by line feeds
  */
 public record ServerSentEvent(byte[] bytes, Kind kind, long id, byte[] data) {
+    static ServerSentEvent comment(byte[] bytes) {
+        return new ServerSentEvent(bytes, Kind.COMMENT, -1, new byte[0]);
+    }
+
     /** What a block is. */
     public enum Kind {
         /** An event with a numeric id. */
--- a/core/src/test/java/org/celerygw/core/events/EventSplitterTest.java
+++ b/core/src/test/java/org/celerygw/core/events/EventSplitterTest.java
@@ -86,6 +86,26 @@
         }
     }
 
+    @DataProvider
+    public Object[][] emptyBlocks() {
+        return new Object[][] {{"\n"}, {"\r\n"}, {":\n\n"}, {": a\n\n\n"}};
+    }
+
+    /** Guards against an object for each byte of a stream of line feeds or comments without end. */
+    @Test(dataProvider = "emptyBlocks")
+    public void commentBlocksThatFollowEachOtherAreOne(String block) {
+        EventSplitter splitter = new EventSplitter();
+        String comments = block.repeat(20_000);
+        for (int i = 0; i < 3; i++) {
+            List<ServerSentEvent> blocks = splitter.add(bytes(comments + "id: 1\ndata: x\n\n" + comments));
+            assertEquals(blocks.size(), 3);
+            assertEquals(text(blocks.get(0).bytes()), comments);
+            assertEquals(text(blocks.get(1).data()), "x");
+            assertEquals(text(blocks.get(2).bytes()), comments);
+            assertTrue(splitter.atEventBoundary());
+        }
+    }
+
     @Test
     public void dataLinesAreJoinedByLineFeeds() {
         ServerSentEvent event = new EventSplitter()
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import org.celerygw.core.events.EventSplitter;
@@ -14,12 +13,16 @@
 /** Writes the response to the client: a stream event by event, any other response once its body is complete. */
 final class ResponseWriter {
     private static final long MAX_RESPONSE_BYTES = 4L << 20;
+    /** What a block of a stream costs beside its bytes, so that a response has a bounded number of them. */
+    private static final int BLOCK_OVERHEAD_BYTES = 64;
+    /** Comments keep a stream alive; a server that sends this much of them between two events sends no stream. */
+    private static final int MAX_COMMENT_BYTES = 65_536;
 
     private final Exchange exchange;
     private final ProgramTurn turn;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private final ByteArrayOutputStream eventData = new ByteArrayOutputStream();
-    private final List<byte[]> pendingEvents = new ArrayList<>();
+    private final ByteArrayOutputStream pendingBlocks = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
     private @Nullable HttpHeaders headers;
     private int status;
@@ -28,6 +31,7 @@
     private long lastIdOfResponse;
     private int receivedEvents;
     private int deliveredEvents;
+    private int commentBytes;
     private long heldBytes;
 
     ResponseWriter(Exchange exchange, ProgramTurn turn) {
@@ -64,6 +68,7 @@
 
     void onHead(HttpResponse head, ResponseMetadata response) {
         lastIdOfResponse = -1;
+        commentBytes = 0;
         boolean resumed = streaming && response.isSuccessful();
         if (resumed) {
             // A stream resumed at another server keeps the status and headers of the first response.
@@ -78,41 +83,47 @@
 
     /** Adds a part of the body; returns false if the response is too long or no valid event stream where one is expected. */
     boolean onBody(byte[] bytes) {
-        if (heldBytes + bytes.length > MAX_RESPONSE_BYTES
-                || !exchange.forwarder.responseBytes.tryAcquire(bytes.length)) {
+        if (!hold(bytes.length)) {
             return false;
         }
-        heldBytes += bytes.length;
         if (!streaming) {
             bufferedBody.writeBytes(bytes);
             return true;
         }
-        boolean valid = splitter.add(bytes).stream().allMatch(this::addBlock);
+        List<ServerSentEvent> blocks = splitter.add(bytes);
+        boolean valid = hold((long) BLOCK_OVERHEAD_BYTES * blocks.size())
+                && blocks.stream().allMatch(this::addBlock);
         flush();
         return valid;
     }
 
+    /** Counts bytes as held until the response is released; returns false if they are too many. */
+    private boolean hold(long bytes) {
+        if (heldBytes + bytes > MAX_RESPONSE_BYTES || !exchange.forwarder.responseBytes.tryAcquire(bytes)) {
+            return false;
+        }
+        heldBytes += bytes;
+        return true;
+    }
+
     private boolean addBlock(ServerSentEvent block) {
-        switch (block.kind()) {
+        return switch (block.kind()) {
             case EVENT -> {
-                if (block.id() <= lastIdOfResponse) {
-                    return false;
-                }
+                commentBytes = 0;
+                boolean inOrder = block.id() > lastIdOfResponse;
                 lastIdOfResponse = block.id();
-                if (block.id() > lastEventId) {
+                if (inOrder && block.id() > lastEventId) {
                     addEvent(block);
                 }
-                return true;
+                yield inOrder;
             }
             case COMMENT -> {
-                pendingEvents.add(block.bytes());
-                return true;
-            }
-            case MALFORMED -> {
-                return false;
+                commentBytes += block.bytes().length;
+                pendingBlocks.writeBytes(block.bytes());
+                yield commentBytes <= MAX_COMMENT_BYTES;
             }
-        }
-        return false;
+            case MALFORMED -> false;
+        };
     }
 
     private void addEvent(ServerSentEvent event) {
@@ -122,7 +133,7 @@
             eventData.write('\n');
         }
         receivedEvents++;
-        pendingEvents.add(event.bytes());
+        pendingBlocks.writeBytes(event.bytes());
     }
 
     /** Returns whether no partial event is pending; always true for a response that is not a stream. */
@@ -144,7 +155,7 @@
             lastEventId = exchange.metadata.lastEventId();
             receivedEvents = 0;
             eventData.reset();
-            pendingEvents.clear();
+            pendingBlocks.reset();
         }
     }
 
@@ -172,7 +183,7 @@
 
     /** Sends all pending events to the client, the head before the first one, provided that delivery is allowed. */
     void flush() {
-        if (pendingEvents.isEmpty() || !turn.deliveryAllowed()) {
+        if (pendingBlocks.size() == 0 || !turn.deliveryAllowed()) {
             return;
         }
         start();
@@ -182,8 +193,8 @@
         if (exchange.firstByteMs() == 0) {
             exchange.recordFirstByte();
         }
-        pendingEvents.forEach(exchange.clientResponse::sendBody);
-        pendingEvents.clear();
+        exchange.clientResponse.sendBody(pendingBlocks.toByteArray());
+        pendingBlocks.reset();
         deliveredEvents = receivedEvents;
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/celerygw/gateway/net/BoundedReads.java
@@ -0,0 +1,19 @@
+package org.celerygw.gateway.net;
+
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+
+/** How much a connection reads before the other connections of its event loop have their turn. */
+final class BoundedReads {
+    private static final int MIN_BUFFER_BYTES = 64;
+    private static final int INITIAL_BUFFER_BYTES = 2_048;
+    private static final int MAX_BUFFER_BYTES = 16_384;
+    private static final int MAX_READS = 4;
+
+    private BoundedReads() {}
+
+    static RecvByteBufAllocator allocator() {
+        return new AdaptiveRecvByteBufAllocator(MIN_BUFFER_BYTES, INITIAL_BUFFER_BYTES, MAX_BUFFER_BYTES)
+                .maxMessagesPerRead(MAX_READS);
+    }
+}
--- a/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
@@ -57,6 +57,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, BoundedReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -1,5 +1,6 @@
 package org.celerygw.gateway.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
@@ -28,11 +30,15 @@
 final class OriginChannel extends ChannelInboundHandlerAdapter {
     private static final int MAX_SKIPPED_RESPONSES = 16;
     private static final long MAX_SKIPPED_BYTES = 4L << 20;
+    private static final int MAX_COLLECTED_BYTES = 65_536;
 
     private final OriginPool pool;
     private @Nullable ChannelHandlerContext ctx;
     private @Nullable Exchange pending;
     private @Nullable ChannelFuture writeFuture;
+    /** Body parts of the present read, which are passed on together: they may be as short as one byte. */
+    private final ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
+
     private boolean skippingResponse;
     private boolean keepAlive;
     private boolean responseComplete;
@@ -157,6 +163,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        passOnBody();
         if (responseComplete && pending == null) {
             responseComplete = false;
             if (keepAlive && !hadForeignResponse && !closed && writeFuture != null && writeFuture.isSuccess()) {
@@ -229,8 +236,8 @@
                 fail();
                 close();
             }
-        } else if (content.content().isReadable()) {
-            current.handler.onBody(ByteBufUtil.getBytes(content.content()));
+        } else {
+            collectBody(content.content());
         }
         if (!(content instanceof LastHttpContent) || current.finished) {
             return;
@@ -239,12 +246,35 @@
             skippingResponse = false;
             return;
         }
+        passOnBody();
+        if (current.finished) {
+            return;
+        }
         current.finished = true;
         pending = null;
         responseComplete = true;
         current.handler.onComplete();
     }
 
+    private void collectBody(ByteBuf part) {
+        if (collectedBody.size() + part.readableBytes() > MAX_COLLECTED_BYTES) {
+            passOnBody();
+        }
+        collectedBody.writeBytes(ByteBufUtil.getBytes(part));
+    }
+
+    /** Passes the collected body on; the handler may cancel the request. */
+    private void passOnBody() {
+        if (collectedBody.size() == 0) {
+            return;
+        }
+        byte[] bytes = collectedBody.toByteArray();
+        collectedBody.reset();
+        if (pending != null && !pending.finished) {
+            pending.handler.onBody(bytes);
+        }
+    }
+
     private void readKeepAliveTimeout(HttpResponse head) {
         String value = head.headers().get("Keep-Alive", "");
         int start = value.indexOf("timeout=");
@@ -262,6 +292,7 @@
     }
 
     private void fail() {
+        passOnBody();
         Exchange current = pending;
         pending = null;
         if (current != null) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -67,6 +67,7 @@
                 .channel(NioSocketChannel.class)
                 .remoteAddress(ip, port)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, BoundedReads.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
     }
 
--- a/gateway/src/test/java/org/celerygw/gateway/forward/EndlessResponseTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/EndlessResponseTest.java
@@ -7,14 +7,20 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests servers that send bytes without end: the host closes the connection and keeps little of them. */
 public final class EndlessResponseTest extends ForwarderFixture {
     private static final int MAX_SENT_BYTES = 64 << 20;
+    /** Half a second after its timeout, any request must have been answered. */
+    private static final long MAX_OTHER_MS = 2_500;
 
     @DataProvider
     public Object[][] responses() {
@@ -52,6 +58,66 @@
         assertTrue(closed.await(5, TimeUnit.SECONDS), "the connection stayed open");
     }
 
+    @DataProvider
+    public Object[][] shortUnits() {
+        String head = "HTTP/1.1 200 OK\r\nid: 1\r\nsigned: x\r\n";
+        String chunked = head + "transfer-encoding: chunked\r\n\r\n";
+        return new Object[][] {
+            {"/stream/", head + "\r\n", "\n"},
+            {"/stream/", head + "\r\n", ":\n\n"},
+            {"/stream/", head + "\r\n", "id: 1\n"},
+            {"/stream/", head + "\r\nid: 1\n", "data:\n"},
+            {"/stream/", chunked, "1\r\n\n\r\n"},
+            {"/stream/", chunked, "1\r\nx\r\n"},
+            {"/unsafe/", chunked, "1\r\nx\r\n"},
+            {"/unsafe/", "", "\n"},
+            {"/unsafe/", "", "a: b\r\n"},
+        };
+    }
+
+    /** Guards against a host that does work for each byte, line or chunk of a response and answers no one meanwhile. */
+    @Test(dataProvider = "shortUnits", timeOut = 30_000)
+    public void otherRequestsAreAnsweredWhileServersSendShortUnitsWithoutEnd(String path, String start, String unit)
+            throws Exception {
+        for (int i = 0; i < 3; i++) {
+            startServer((request, out, socket) -> {
+                if (request.requestLine().contains("/safe/")) {
+                    respond(out, "200 OK", request, SIGNED, "x");
+                } else {
+                    write(out, start);
+                    writeUntilClosed(out, unit, 0, new CountDownLatch(1));
+                }
+            });
+        }
+        AtomicBoolean done = new AtomicBoolean();
+        List<CompletableFuture<Void>> callers = IntStream.range(0, 4)
+                .mapToObj(i ->
+                        CompletableFuture.runAsync(() -> sendRepeatedly(path, done), task -> new Thread(task).start()))
+                .toList();
+        long slowestMs = 0;
+        for (int i = 0; i < 40; i++) {
+            long sentNs = System.nanoTime();
+            sendRequest(getRequest("/safe/", "2"));
+            slowestMs = Math.max(slowestMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs));
+            Thread.sleep(20);
+        }
+        done.set(true);
+        for (CompletableFuture<Void> caller : callers) {
+            caller.get(10, TimeUnit.SECONDS);
+        }
+        assertTrue(slowestMs < MAX_OTHER_MS, "another request was answered after " + slowestMs + " ms");
+    }
+
+    private void sendRepeatedly(String path, AtomicBoolean done) {
+        while (!done.get()) {
+            try {
+                sendAndReadToEnd(getRequest(path, "1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+            } catch (IOException e) {
+                // The host broke the response off.
+            }
+        }
+    }
+
     /** Guards against a connection that outlives its request because the client of an unsafe request has left. */
     @Test
     public void slowBodyWithoutEndIsCutAtTheDeadlineAfterTheClientHasLeft() throws Exception {
