--- a/core/src/main/java/org/celerygw/core/limits/Permits.java
+++ b/core/src/main/java/org/celerygw/core/limits/Permits.java
@@ -272,7 +272,7 @@
                     .forEach(network::announce);
         }
         long nowMs = clock.nowMs();
-        TrackedServer known = servers.byId(server);
+        TrackedServer known = servers.knownById(server);
         double limitPerS = known == null
                 ? requestedLimitPerS
                 : Math.min(requestedLimitPerS, known.limit().perS(nowMs));
@@ -287,7 +287,7 @@
         boolean granted = reply.getResult() == PermitResult.GRANTED;
         grantedPermits += granted ? 1 : 0;
         refusedPermits += granted ? 0 : 1;
-        TrackedServer known = servers.byId(server);
+        TrackedServer known = servers.knownById(server);
         if (known == null) {
             return;
         }
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -96,7 +96,7 @@
     public static List<TrackedServer> applyLimits(Digest digest, ServerList servers, long nowMs) {
         List<TrackedServer> changed = new ArrayList<>();
         for (ServerLoad load : digest.getLoadsList()) {
-            TrackedServer server = servers.byId(load.getServer());
+            TrackedServer server = servers.knownById(load.getServer());
             if (server != null && server.limit().recordTold(load.getLimitPerS(), load.getLimitAgeMs(), nowMs)) {
                 changed.add(server);
             }
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -14,7 +15,7 @@
 /**
  * The registered backend servers. Entries that disappear during or shortly after an outage of the store are retained
  * until {@value #OUTAGE_GRACE_MS} ms after the store is available again, since live servers have registered again by
- * then. Not thread-safe.
+ * then. An entry that returns later finds what was known of its incarnation. Not thread-safe.
  */
 public final class ServerList {
     /** How long a missing entry is retained after the store is available again, in ms. */
@@ -23,17 +24,30 @@
     private final Map<String, TrackedServer> byId = new HashMap<>();
     private final Map<String, List<TrackedServer>> byService = new HashMap<>();
     private final Map<String, Long> missingSinceMs = new HashMap<>();
+    private final LapsedServers lapsed = new LapsedServers();
     private final Consumer<TrackedServer> onRemoved;
+    private final Consumer<TrackedServer> onReturned;
     private boolean storeUnavailable;
     private long storeAvailableSinceMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates an empty list.
      *
-     * @param onRemoved called with each incarnation that was removed
+     * @param onRemoved called with each incarnation whose entry was removed
      */
     public ServerList(Consumer<TrackedServer> onRemoved) {
+        this(onRemoved, server -> {});
+    }
+
+    /**
+     * Creates an empty list.
+     *
+     * @param onRemoved called with each incarnation whose entry was removed
+     * @param onReturned called with each incarnation whose entry was removed and has returned
+     */
+    public ServerList(Consumer<TrackedServer> onRemoved, Consumer<TrackedServer> onReturned) {
         this.onRemoved = onRemoved;
+        this.onReturned = onReturned;
     }
 
     /** Records that the store is unavailable. */
@@ -68,11 +82,16 @@
         if (existing != null) {
             removeNow(existing);
         }
-        TrackedServer added = new TrackedServer(server);
+        TrackedServer returned = lapsed.take(server);
+        TrackedServer added = returned == null ? new TrackedServer(server) : returned;
+        added.onRegistered(server);
         byId.put(server.id(), added);
         List<TrackedServer> sameService = byService.computeIfAbsent(server.service(), service -> new ArrayList<>());
         sameService.add(added);
         sameService.sort(Comparator.comparing(s -> s.entry().id()));
+        if (returned != null) {
+            onReturned.accept(returned);
+        }
     }
 
     /**
@@ -89,7 +108,7 @@
         if (storeUnavailable || nowMs < storeAvailableSinceMs + OUTAGE_GRACE_MS) {
             missingSinceMs.putIfAbsent(id, nowMs);
         } else {
-            removeNow(byId.get(id));
+            lapse(id, nowMs);
         }
     }
 
@@ -114,10 +133,11 @@
      * @param nowMs the current time, in ms
      */
     public void removeExpired(long nowMs) {
+        lapsed.removeExpired(nowMs);
         if (storeUnavailable || missingSinceMs.isEmpty() || nowMs < storeAvailableSinceMs + OUTAGE_GRACE_MS) {
             return;
         }
-        List.copyOf(missingSinceMs.keySet()).forEach(id -> removeNow(byId.get(id)));
+        List.copyOf(missingSinceMs.keySet()).forEach(id -> lapse(id, nowMs));
     }
 
     /**
@@ -163,15 +183,26 @@
     }
 
     /**
-     * Looks up a server by id.
+     * Looks up a registered server by id.
      *
      * @param id the server's id
-     * @return the server, or null if it is unknown
+     * @return the server, or null if it is not registered
      */
     public @Nullable TrackedServer byId(String id) {
         return byId.get(id);
     }
 
+    /**
+     * Looks up a server by id, also one whose entry has disappeared: for what is learned of it meanwhile.
+     *
+     * @param id the server's id
+     * @return the incarnation that is or was registered last, or null if it is unknown
+     */
+    public @Nullable TrackedServer knownById(String id) {
+        TrackedServer registered = byId.get(id);
+        return registered == null ? lapsed.get(id) : registered;
+    }
+
     /**
      * Returns all servers.
      *
@@ -181,6 +212,12 @@
         return List.copyOf(byId.values());
     }
 
+    private void lapse(String id, long nowMs) {
+        TrackedServer server = Objects.requireNonNull(byId.get(id));
+        removeNow(server);
+        lapsed.add(server, nowMs);
+    }
+
     private void removeNow(TrackedServer server) {
         String id = server.entry().id();
         missingSinceMs.remove(id);
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -60,9 +60,9 @@
     }
 
     /**
-     * Returns whether this incarnation was removed from the list, which is permanent.
+     * Returns whether the entry of this incarnation was removed from the list and has not returned.
      *
-     * @return true if no more requests may be sent
+     * @return true if no requests may be sent
      */
     public boolean hasLeft() {
         return hasLeft;
@@ -219,6 +219,12 @@
         entry = newEntry;
     }
 
+    /** Records that the entry was added to the list, for the first time or again. */
+    void onRegistered(BackendServer newEntry) {
+        entry = newEntry;
+        hasLeft = false;
+    }
+
     void markLeft() {
         hasLeft = true;
     }
--- a/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/ServerListTest.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
@@ -53,6 +55,51 @@
         assertSame(servers.byService("s").get(0), before);
     }
 
+    /** Guards against requests over a limit, or to a server that leaves, after its entry lapsed and returned. */
+    @Test
+    public void entryThatReturnsFindsWhatIsKnownOfItsIncarnation() {
+        servers.put(server("a", 1, false));
+        TrackedServer before = servers.byId("a");
+        before.limit().recordResponse(3, 1_000);
+        before.limit().grantPermit(1_000, 1_500);
+        before.requestStarted();
+        before.markLeaving();
+        servers.remove("a", 2_000);
+        assertTrue(before.hasLeft());
+        assertSame(servers.knownById("a"), before);
+        servers.replaceAll(List.of(server("a", 1, false)), 60_000);
+        TrackedServer after = servers.byId("a");
+        assertEquals(after.limit().perS(60_000), 3.0);
+        assertFalse(after.limit().allowsRequest(60_000));
+        assertEquals(after.inFlight(), 1);
+        assertFalse(after.isUsable());
+        assertFalse(after.hasLeft());
+        assertEquals(servers.byService("s").size(), 1);
+    }
+
+    @Test
+    public void entryThatReturnsAfterARestartFindsNothing() {
+        servers.put(server("a", 1, false));
+        servers.byId("a").markLeaving();
+        servers.remove("a", 2_000);
+        servers.put(server("a", 2, false));
+        assertTrue(servers.byId("a").isUsable());
+    }
+
+    @Test
+    public void whatIsKnownOfALapsedEntryIsForgottenInTheEnd() {
+        servers.put(server("a", 1, false));
+        servers.remove("a", 0);
+        servers.removeExpired(LapsedServers.MAX_AGE_MS + 1);
+        assertNull(servers.knownById("a"));
+        for (int i = 0; i < 3_000; i++) {
+            servers.put(server("b" + i, 1, false));
+            servers.remove("b" + i, 1_000_000);
+        }
+        assertNull(servers.knownById("b0"));
+        assertNotNull(servers.knownById("b2999"));
+    }
+
     @Test
     public void restartUnderSameIdIsAnotherIncarnation() {
         servers.put(server("a", 1, false));
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
+import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.time.Clock;
@@ -119,7 +120,7 @@
         };
         this.adapter = factory.create(loop, clock);
         this.originPools = new OriginPools(loop, clock);
-        this.servers = new ServerList(originPools::remove);
+        this.servers = new ServerList(originPools::remove, this::logReturn);
         this.quarantine = new Quarantine(settings.host());
         this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
         this.serverSelector = new ServerSelector(settings.zone(), permits::request);
@@ -387,6 +388,14 @@
         }
     }
 
+    private void logReturn(TrackedServer server) {
+        LOG.atInfo()
+                .addKeyValue("server", server.entry().id())
+                .addKeyValue("limitPerS", server.limit().perS(clock.nowMs()))
+                .addKeyValue("usable", server.isUsable())
+                .log("servers: entry has returned; what is known of this incarnation still holds");
+    }
+
     private static InetSocketAddress socketAddress(String ip, int port) {
         return new InetSocketAddress(ip, port);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -242,7 +242,7 @@
             return;
         }
         pendingRequest.cancel();
-        forwarder.originPools.poolFor(server).closeIdle();
+        forwarder.originPools.closeIdle(server);
         server.recordFailure(forwarder.clock.nowMs());
         onResponseLost(server, "silent");
     }
@@ -367,7 +367,7 @@
         if (pendingRequest != null
                 && currentServer != null
                 && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
-            forwarder.originPools.poolFor(currentServer).closeIdle();
+            forwarder.originPools.closeIdle(currentServer);
         }
         if (possibleExecutions > 0 || clientResponse.started()) {
             fail(504, "deadline exceeded");
--- a/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
@@ -56,6 +56,18 @@
         }
     }
 
+    /**
+     * Closes the idle connections to a server, which may be dead.
+     *
+     * @param server the server's incarnation; may be gone
+     */
+    public void closeIdle(TrackedServer server) {
+        OriginPool pool = poolsByServer.get(server);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
     /** Closes all idle connections, since this host has lost its links to the servers. */
     public void closeAllIdle() {
         poolsByServer.values().forEach(OriginPool::closeIdle);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -153,7 +153,7 @@
     private void recordLeaving(TrackedServer server, HttpResponse head) {
         ResponseMetadata response = dialect.parseResponse(head);
         if (response.leaving() && response.isCredible() && server.markLeaving()) {
-            originPools.poolFor(server).closeIdle();
+            originPools.closeIdle(server);
             LOG.atInfo()
                     .addKeyValue("server", server.entry().id())
                     .addKeyValue("status", response.status())
