Bound what origins may send for one request, and what relays keep for peers

Cause: each consumer of a response bounded what it holds, or did not: a response relayed for a peer that does not read was kept whole, responses of the store and of peers until their timeout; bodies that are dropped were read until the deadline. Change: pools of connections bound the bytes received for a request, framing included, before they are decoded; relays break a response off when peers have left 16 MiB unread; a large response counts against the quota until its client has taken it. Why it works: the bound stands where the bytes come in, so that no consumer can forget it.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -296,7 +296,7 @@
 
     private void markEnded() {
         ended = true;
-        responseWriter.release();
+        responseWriter.releaseWhenSent();
         if (engineWait != null) {
             engineWait.cancel();
             engineWait = null;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -15,6 +15,8 @@
     private static final long MAX_RESPONSE_BYTES = 4L << 20;
     /** What a block of a stream costs beside its bytes, so that a response has a bounded number of them. */
     private static final int BLOCK_OVERHEAD_BYTES = 64;
+    /** A response that a connection's buffers hold. */
+    private static final int SMALL_RESPONSE_BYTES = 65_536;
     /** Comments keep a stream alive; a server that sends this much of them between two events sends no stream. */
     private static final int MAX_COMMENT_BYTES = 65_536;
 
@@ -159,12 +161,21 @@
         }
     }
 
-    /** Gives back the memory quota that the response holds; called when the exchange has ended. */
-    void release() {
+    /** Gives back the memory quota that the response holds. */
+    private void release() {
         exchange.forwarder.responseBytes.release(heldBytes);
         heldBytes = 0;
     }
 
+    /** Gives back the quota when the exchange has ended and the client, which may read slowly, has taken what was sent. */
+    void releaseWhenSent() {
+        if (heldBytes > SMALL_RESPONSE_BYTES) {
+            exchange.clientResponse.whenSent(this::release);
+        } else {
+            release();
+        }
+    }
+
     void finish() {
         HttpHeaders responseHeaders = Objects.requireNonNull(headers);
         if (!streaming) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import org.celerygw.core.limits.ByteQuota;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.core.turns.Scheduler;
@@ -22,10 +23,13 @@
     private static final int NOT_SENT_STATUS = 503;
     private static final long MAX_IDLE_MS = 1_500;
     private static final long MAX_TIMEOUT_MS = 600_000;
+    /** What all peers together may leave unread. */
+    private static final long MAX_UNREAD_BYTES = 16L << 20;
 
     private final ServerLinks links;
     private final ServerList servers;
     private final Scheduler scheduler;
+    private final ByteQuota unreadBytes = new ByteQuota(MAX_UNREAD_BYTES);
     private int inFlight;
 
     /**
@@ -87,7 +91,7 @@
         void start(ClientRequest request, TrackedServer server) {
             inFlight++;
             response.onClientDisconnect(this::cancel);
-            scheduler.schedule(timeoutMs(request), this::onTimeout);
+            scheduler.schedule(timeoutMs(request), this::breakOff);
             OriginRequest passedOn = new OriginRequest(
                     request.method(),
                     request.uri(),
@@ -97,7 +101,7 @@
                     server, passedOn, request.headers().get(RelayHeaders.REQUEST, ""), MAX_IDLE_MS, this);
         }
 
-        private void onTimeout() {
+        private void breakOff() {
             if (!ended) {
                 cancel();
                 response.abort();
@@ -125,7 +129,12 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            response.sendBody(bytes);
+            if (unreadBytes.tryAcquire(bytes.length)) {
+                response.sendBody(bytes);
+                response.whenSent(() -> unreadBytes.release(bytes.length));
+            } else {
+                breakOff();
+            }
         }
 
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -118,6 +118,14 @@
         ChannelActions.write(ctx, message);
     }
 
+    void whenSent(Runnable task) {
+        if (ctx == null) {
+            task.run();
+        } else {
+            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> task.run());
+        }
+    }
+
     void responseFinished(boolean close) {
         response = null;
         requestHead = null;
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientResponse.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientResponse.java
@@ -109,6 +109,15 @@
         }
     }
 
+    /**
+     * Runs a task once the client has taken all that was sent so far, or is gone.
+     *
+     * @param task runs on the event loop, possibly during this call
+     */
+    public void whenSent(Runnable task) {
+        channel.whenSent(task);
+    }
+
     /** Ends a streamed response with its last chunk. */
     public void finish() {
         if (finished) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -29,7 +29,9 @@
  */
 final class OriginChannel extends ChannelInboundHandlerAdapter {
     private static final int MAX_SKIPPED_RESPONSES = 16;
-    private static final long MAX_SKIPPED_BYTES = 4L << 20;
+    /** What a part of a body costs beside its bytes, so that a response has a bounded number of them. */
+    private static final int PART_OVERHEAD_BYTES = 64;
+
     private static final int MAX_COLLECTED_BYTES = 65_536;
 
     private final OriginPool pool;
@@ -44,7 +46,7 @@
     private boolean responseComplete;
     private boolean hadForeignResponse;
     private int skippedResponses;
-    private long skippedBytes;
+    private long receivedBytes;
     private boolean closed;
     private long idleSinceMs;
     private long serverKeepAliveMs = Long.MAX_VALUE;
@@ -97,7 +99,7 @@
         responseComplete = false;
         skippingResponse = false;
         skippedResponses = 0;
-        skippedBytes = 0;
+        receivedBytes = 0;
         if (ctx != null && ctx.channel().isActive()) {
             write(next);
         }
@@ -134,6 +136,20 @@
         return Math.min(ownLimitMs, serverKeepAliveMs / 10 * 6);
     }
 
+    /**
+     * Counts bytes that have arrived, before they are decoded. Returns false, and closes the connection, if they belong to
+     * no request or if the response to the request becomes too long.
+     */
+    boolean accepts(int bytes) {
+        receivedBytes += bytes;
+        if (pending != null && receivedBytes <= pool.maxResponseBytes()) {
+            return true;
+        }
+        fail();
+        close();
+        return false;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         ctx = context;
@@ -230,13 +246,10 @@
     }
 
     private void handleContent(Exchange current, HttpContent content) {
-        if (skippingResponse) {
-            skippedBytes += content.content().readableBytes();
-            if (skippedBytes > MAX_SKIPPED_BYTES) {
-                fail();
-                close();
-            }
-        } else {
+        if (!accepts(PART_OVERHEAD_BYTES)) {
+            return;
+        }
+        if (!skippingResponse) {
             collectBody(content.content());
         }
         if (!(content instanceof LastHttpContent) || current.finished) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -40,8 +40,9 @@
      * @param connectTimeoutMs the maximum time to establish a connection, in ms
      * @param maxIdleMs how long an idle connection stays open, in ms
      * @param maxIdleConnections how many idle connections stay open
+     * @param maxResponseBytes how many bytes an origin may send for one request, framing included; then the request fails
      */
-    public record Limits(int connectTimeoutMs, long maxIdleMs, int maxIdleConnections) {}
+    public record Limits(int connectTimeoutMs, long maxIdleMs, int maxIdleConnections, long maxResponseBytes) {}
 
     /** A request in flight. */
     public interface PendingRequest {
@@ -105,7 +106,12 @@
                         HttpDecoderConfig config = new HttpDecoderConfig()
                                 .setMaxHeaderSize(MAX_HEAD_BYTES)
                                 .setMaxChunkSize(65_536);
-                        channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder(config), created);
+                        channel.pipeline()
+                                .addLast(
+                                        new ReceivedBytesLimiter(created),
+                                        new HttpRequestEncoder(),
+                                        new HttpResponseDecoder(config),
+                                        created);
                     }
                 })
                 .connect();
@@ -183,6 +189,10 @@
         return null;
     }
 
+    long maxResponseBytes() {
+        return limits.maxResponseBytes();
+    }
+
     void release(OriginChannel channel) {
         if (closed || idle.size() >= limits.maxIdleConnections()) {
             channel.close();
--- a/gateway/src/main/java/org/celerygw/gateway/peers/PeerTable.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/PeerTable.java
@@ -13,7 +13,10 @@
 
 /** The other hosts that this host knows, by address. Not thread-safe: used on one event loop. */
 final class PeerTable {
-    private static final OriginPool.Limits LIMITS = new OriginPool.Limits(300, 8_000, 8);
+    /** More than all rows of a feed, and than a response of a server that a peer relays. */
+    private static final long MAX_RESPONSE_BYTES = 16L << 20;
+
+    private static final OriginPool.Limits LIMITS = new OriginPool.Limits(300, 8_000, 8, MAX_RESPONSE_BYTES);
     private static final long PEER_EXPIRY_MS = 60_000;
 
     private final EventLoop loop;
