Bound what the bodies of all callers hold together

Cause: each body was bounded by itself, the sum of all was not. Change: large bodies count against 16 MiB for each listener; one that does not fit is refused with 503, not run, with a time to come back. The copy made while a body arrives is dropped when the request is complete.

--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -31,6 +31,10 @@
  */
 final class ClientChannel extends ChannelInboundHandlerAdapter {
     private static final int MAX_PIPELINED_OBJECTS = 64;
+    /** Small bodies do not count against the quota, so that large ones do not displace them. */
+    private static final int UNCOUNTED_BODY_BYTES = 16_384;
+
+    private static final int RETRY_AFTER_S = 1;
 
     private final HttpListener listener;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
@@ -38,6 +42,7 @@
     private @Nullable ChannelHandlerContext ctx;
     private @Nullable HttpRequest requestHead;
     private @Nullable ClientResponse response;
+    private long countedBodyBytes;
     private long headReceivedAtMs;
     private long idleSinceMs;
     private boolean closeAfterResponse;
@@ -58,6 +63,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         listener.removeConnection(this);
+        discardBody();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         ClientResponse unfinished = response;
@@ -129,7 +135,7 @@
     void responseFinished(boolean close) {
         response = null;
         requestHead = null;
-        requestBody = new ByteArrayOutputStream();
+        discardBody();
         idleSinceMs = listener.nowMs();
         if (ctx == null) {
             return;
@@ -168,6 +174,8 @@
                 content.content().readBytes(requestBody, content.content().readableBytes());
                 if (requestBody.size() > listener.maxBodyBytes()) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                } else if (!countBody(requestBody.size())) {
+                    reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 } else if (content instanceof LastHttpContent) {
                     dispatch();
                 }
@@ -179,6 +187,22 @@
         }
     }
 
+    /** Counts the body received so far; returns false if the clients together send more than the host can hold. */
+    private boolean countBody(int bodyBytes) {
+        long more = Math.max(0, bodyBytes - UNCOUNTED_BODY_BYTES) - countedBodyBytes;
+        if (!listener.bodyBytes().tryAcquire(more)) {
+            return false;
+        }
+        countedBodyBytes += more;
+        return true;
+    }
+
+    private void discardBody() {
+        requestBody = new ByteArrayOutputStream();
+        listener.bodyBytes().release(countedBodyBytes);
+        countedBodyBytes = 0;
+    }
+
     private void startRequest(HttpRequest request) {
         requestHead = request;
         headReceivedAtMs = listener.nowMs();
@@ -192,16 +216,13 @@
 
     private void dispatch() {
         HttpRequest request = Objects.requireNonNull(requestHead);
+        byte[] body = requestBody.toByteArray();
+        requestBody = new ByteArrayOutputStream();
         ClientResponse newResponse = new ClientResponse(this);
         response = newResponse;
         listener.handler()
                 .handle(
-                        new ClientRequest(
-                                request.method(),
-                                request.uri(),
-                                request.headers(),
-                                requestBody.toByteArray(),
-                                headReceivedAtMs),
+                        new ClientRequest(request.method(), request.uri(), request.headers(), body, headReceivedAtMs),
                         newResponse);
     }
 
@@ -209,6 +230,7 @@
     private void reject(HttpResponseStatus status) {
         rejected = true;
         requestHead = null;
+        discardBody();
         DefaultFullHttpResponse errorResponse = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 status,
@@ -217,6 +239,9 @@
                         .set(HttpHeaderNames.CONTENT_LENGTH, 0)
                         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE),
                 EmptyHttpHeaders.INSTANCE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            errorResponse.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_S);
+        }
         if (ctx != null) {
             ctx.writeAndFlush(errorResponse).addListener(ChannelFutureListener.CLOSE);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.limits.ByteQuota;
 import org.celerygw.core.time.Clock;
 import org.jspecify.annotations.Nullable;
 
@@ -25,11 +26,13 @@
 public final class HttpListener {
     private static final int MAX_HEAD_BYTES = 16_384;
     private static final int BACKLOG = 1_024;
+    private static final long MAX_BODY_BYTES_IN_FLIGHT = 16L << 20;
 
     private final Clock clock;
     private final RequestHandler handler;
     private final Set<ClientChannel> connections = new LinkedHashSet<>();
     private @Nullable Channel serverChannel;
+    private final ByteQuota bodyBytes = new ByteQuota(MAX_BODY_BYTES_IN_FLIGHT);
     private boolean stopping;
     private int maxBodyBytes = 4 << 20;
 
@@ -159,6 +162,11 @@
         return maxBodyBytes;
     }
 
+    /** Returns the quota of what clients have sent of large bodies. */
+    ByteQuota bodyBytes() {
+        return bodyBytes;
+    }
+
     long nowMs() {
         return clock.nowMs();
     }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/UnboundedBytesTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/UnboundedBytesTest.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -13,6 +14,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -31,8 +35,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Guards against a host that keeps reading, or keeps in memory, bytes that a server, the store or a peer sends without
- * end.
+ * Guards against a host that keeps reading, or keeps in memory, bytes that a server, the store, a peer or callers send
+ * without end.
  */
 public final class UnboundedBytesTest {
     private static final int MAX_SENT_BYTES = 96 << 20;
@@ -128,6 +132,56 @@
         }
     }
 
+    /** Guards against a host that runs out of memory because many callers send large bodies at once. */
+    @Test(timeOut = 60_000)
+    public void largeBodiesOfManyCallersAreRefusedAndSmallOnesAreNot() throws Exception {
+        HttpListener listener = HttpListener.start(
+                        loop,
+                        clock,
+                        "127.0.0.1",
+                        0,
+                        (request, response) -> response.send(200, new DefaultHttpHeaders(), new byte[0]))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(5, TimeUnit.SECONDS);
+        List<Socket> senders = new ArrayList<>();
+        int refused = 0;
+        for (int i = 0; i < 12; i++) {
+            Socket sender = new Socket("127.0.0.1", listener.port());
+            senders.add(sender);
+            sender.getOutputStream()
+                    .write("POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 4000000\r\n\r\n".getBytes(US_ASCII));
+            try {
+                sender.getOutputStream().write(new byte[3_900_000]);
+                sender.setSoTimeout(300);
+                refused += sender.getInputStream().read() == -1 ? 0 : 1;
+            } catch (SocketTimeoutException e) {
+                // Accepted so far.
+            } catch (IOException e) {
+                refused++;
+            }
+        }
+        assertEquals(refused, 8);
+        try (Socket small = new Socket("127.0.0.1", listener.port())) {
+            small.getOutputStream()
+                    .write("POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 1\r\n\r\nx".getBytes(US_ASCII));
+            assertEquals(new String(small.getInputStream().readNBytes(12), US_ASCII), "HTTP/1.1 200");
+        }
+        for (Socket sender : senders) {
+            sender.close();
+        }
+        assertEquals(sendLargeBody(listener), "HTTP/1.1 200");
+    }
+
+    private static String sendLargeBody(HttpListener listener) throws IOException {
+        try (Socket sender = new Socket("127.0.0.1", listener.port())) {
+            sender.getOutputStream()
+                    .write("POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 4000000\r\n\r\n".getBytes(US_ASCII));
+            sender.getOutputStream().write(new byte[4_000_000]);
+            return new String(sender.getInputStream().readNBytes(12), US_ASCII);
+        }
+    }
+
     private OriginPool pool(ScriptedServer server) {
         return new OriginPool(
                 loop, clock, "127.0.0.1", server.port(), new OriginPool.Limits(500, 5_000, 4, MAX_RESPONSE_BYTES));
