Answer or refuse requests that come late in a planned stop

Cause: nothing compared a request's time with the host's own end: it was admitted by its client's deadline, and what was under way at the end was cut. Change: core.scheduling.GracefulStop decides; a request that can probably not be answered in time is refused at once as not run, any other has the host's end as its deadline, and what is under way at the end is answered: 503 if not sent, else 504. Requests relayed for peers are waited for, and a connection closes only once its last response is sent. Why it works: the host's end is now part of each deadline, so that queue, servers and retries keep to it.

--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
+import org.celerygw.core.scheduling.GracefulStop;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.ServerList;
@@ -67,8 +68,6 @@
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
-    private static final long STOP_ACCEPT_MS = 3_200;
-    private static final long STOP_MARGIN_MS = 700;
     private static final long STOP_CHECK_INTERVAL_MS = 50;
     private static final long PROGRAM_CACHE_BYTES = 24L << 20;
 
@@ -83,6 +82,7 @@
     private final OriginPools originPools;
     private final ServerLinks links;
     private final EngineQueue engineQueue;
+    private final ServerRelay serverRelay;
     private final Forwarder forwarder;
     private final Metrics metrics;
     private final Adapter adapter;
@@ -135,6 +135,7 @@
                 .toList();
         Dialect dialect = adapter.dialect();
         this.links = new ServerLinks(clock, scheduler, dialect, servers, originPools, this::serverRelays);
+        this.serverRelay = new ServerRelay(links, servers, scheduler);
         this.peers = new Peers(
                 loop,
                 clock,
@@ -152,7 +153,7 @@
                 health,
                 new PeersLocalState(),
                 permits,
-                new ServerRelay(links, servers, scheduler));
+                serverRelay);
         configurationWatch.setPeerSource(callback -> peers.readFeed(CONFIGURATION_FEED, callback));
         serverWatch.setPeerSource(callback -> peers.readFeed(SERVER_FEED, callback));
         ProgramStore programStore = new ProgramStore(
@@ -245,7 +246,10 @@
                         .addKeyValue("underWay", forwarder.requestsInFlight())
                         .log("host: stopping");
                 clientListeners().forEach(l -> l.stopping(true));
-                completeStop(clock.nowMs(), promise);
+                GracefulStop stop = new GracefulStop(clock.nowMs(), settings.stopGraceMs());
+                forwarder.beginStop(stop);
+                serverRelay.beginStop();
+                completeStop(stop, promise);
             }
         });
         return promise.future();
@@ -353,23 +357,34 @@
     }
 
     /** Checks periodically whether the stop is complete; stops accepting once the balancer has had time to notice. */
-    private void completeStop(long stopStartedAtMs, Promise<Void> stopped) {
-        long elapsedMs = clock.nowMs() - stopStartedAtMs;
-        boolean accepting = elapsedMs < Math.min(STOP_ACCEPT_MS, settings.stopGraceMs() / 2);
-        if (!accepting) {
+    private void completeStop(GracefulStop stop, Promise<Void> stopped) {
+        long nowMs = clock.nowMs();
+        boolean over = nowMs >= stop.answerUntilMs();
+        if (over) {
+            LOG.atInfo()
+                    .addKeyValue("underWay", forwarder.requestsInFlight())
+                    .addKeyValue("relayed", serverRelay.requestsInFlight())
+                    .log("host: no time left; answering what is under way");
+            forwarder.endAll();
+        }
+        if (!stop.acceptsConnections(nowMs)) {
             clientListeners().forEach(HttpListener::closeIdle);
         }
-        boolean drained = !accepting
-                && forwarder.requestsInFlight() == 0
-                && clientListeners().stream().allMatch(l -> l.busyConnections() == 0);
-        if (drained || elapsedMs > settings.stopGraceMs() - STOP_MARGIN_MS) {
-            LOG.atInfo().addKeyValue("underWay", forwarder.requestsInFlight()).log("host: stopped");
-            stopped.complete();
+        if (over || isDrained(stop, nowMs)) {
+            LOG.atInfo().log("host: stopped");
+            scheduler.schedule(STOP_CHECK_INTERVAL_MS, stopped::complete);
         } else {
-            scheduler.schedule(STOP_CHECK_INTERVAL_MS, () -> completeStop(stopStartedAtMs, stopped));
+            scheduler.schedule(STOP_CHECK_INTERVAL_MS, () -> completeStop(stop, stopped));
         }
     }
 
+    private boolean isDrained(GracefulStop stop, long nowMs) {
+        return !stop.acceptsConnections(nowMs)
+                && forwarder.requestsInFlight() == 0
+                && serverRelay.requestsInFlight() == 0
+                && clientListeners().stream().allMatch(l -> l.openConnections() == 0);
+    }
+
     private void onStoreUnavailable(String feed) {
         servers.onStoreUnavailable();
         if (!storeUnavailable) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -80,7 +80,7 @@
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
         this.timeoutMs =
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
-        this.deadlineMs = request.receivedAtMs() + timeoutMs;
+        this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
@@ -301,7 +301,7 @@
             engineWait.cancel();
             engineWait = null;
         }
-        forwarder.exchangeEnded();
+        forwarder.exchangeEnded(this);
     }
 
     /** Tries again while some server is usable, though none may be sent a request now; there is no queue here. */
@@ -377,6 +377,15 @@
         }
     }
 
+    /** Answers the request, since this host has no time left. */
+    void endForStop() {
+        if (possibleExecutions > 0 || clientResponse.started()) {
+            fail(504, "the host stops");
+        } else {
+            refuse(new Forwarder.Refusal(503, "the host stops before the request could be executed", 0));
+        }
+    }
+
     private void onClientDisconnect() {
         if (ended) {
             return;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -2,7 +2,10 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
@@ -13,6 +16,7 @@
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
 import org.celerygw.core.scheduling.EngineQueue;
+import org.celerygw.core.scheduling.GracefulStop;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
 import org.celerygw.core.servers.TrackedServer;
@@ -49,7 +53,8 @@
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
     private final Runnable onSuspectsChanged;
-    private int requestsInFlight;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private @Nullable GracefulStop stop;
     private boolean pollScheduled;
 
     /**
@@ -118,8 +123,13 @@
                         new Refusal(404, "no matching route in configuration version " + routes.version(), 0));
                 return;
             }
-            requestsInFlight++;
-            new Exchange(this, request, response, metadata, route.get(), routes).start();
+            if (stop != null && !canAnswer(stop, route.get())) {
+                refuse(response, metadata, new Refusal(503, "too little time left before this host has stopped", 0));
+                return;
+            }
+            Exchange exchange = new Exchange(this, request, response, metadata, route.get(), routes);
+            exchanges.add(exchange);
+            exchange.start();
         } catch (GatewayException e) {
             refuse(response, null, new Refusal(e.code().httpStatus(), String.valueOf(e.getMessage()), 0));
         }
@@ -131,7 +141,30 @@
      * @return exchanges that have started and not ended
      */
     public int requestsInFlight() {
-        return requestsInFlight;
+        return exchanges.size();
+    }
+
+    /**
+     * Begins a graceful stop: from now on, requests that cannot be answered in time are refused.
+     *
+     * @param begun the stop
+     */
+    public void beginStop(GracefulStop begun) {
+        stop = begun;
+    }
+
+    /** Answers all requests in flight, since the host has no time left: as not run, or as unknown once they were sent. */
+    public void endAll() {
+        List.copyOf(exchanges).forEach(Exchange::endForStop);
+    }
+
+    /** Returns the time by which each request that arrives now must have been answered, in ms. */
+    long answerUntilMs() {
+        return stop == null ? Long.MAX_VALUE : stop.answerUntilMs();
+    }
+
+    private boolean canAnswer(GracefulStop begun, Route route) {
+        return begun.canAnswer(clock.nowMs(), responseTimes.averageMs(route), route.repeatable());
     }
 
     /** Counts a request that is sent to a server. */
@@ -178,8 +211,8 @@
         }
     }
 
-    void exchangeEnded() {
-        requestsInFlight--;
+    void exchangeEnded(Exchange exchange) {
+        exchanges.remove(exchange);
     }
 
     /** Responds to a request that no server has executed or will execute. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
@@ -31,6 +31,7 @@
     private final Scheduler scheduler;
     private final ByteQuota unreadBytes = new ByteQuota(MAX_UNREAD_BYTES);
     private int inFlight;
+    private boolean stopping;
 
     /**
      * Creates a relay without requests.
@@ -55,10 +56,24 @@
         return request.headers().contains(RelayHeaders.SERVER);
     }
 
+    /** Refuses all further requests, so that the peers send them elsewhere. */
+    public void beginStop() {
+        stopping = true;
+    }
+
+    /**
+     * Returns how many requests of peers are in flight.
+     *
+     * @return the number of requests that have not ended
+     */
+    public int requestsInFlight() {
+        return inFlight;
+    }
+
     @Override
     public void handle(ClientRequest request, ClientResponse response) {
         TrackedServer server = servers.byId(request.headers().get(RelayHeaders.SERVER, ""));
-        if (server == null || !server.isUsable() || inFlight >= MAX_IN_FLIGHT) {
+        if (server == null || !server.isUsable() || stopping || inFlight >= MAX_IN_FLIGHT) {
             refuse(response);
         } else {
             new Relayed(response).start(request, server);
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -112,6 +112,13 @@
         ChannelActions.close(ctx);
     }
 
+    /** Closes the connection once the client has taken what was sent. */
+    void closeWhenSent() {
+        if (ctx != null) {
+            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     boolean shouldClose() {
         return closeAfterResponse || listener.stopping();
     }
@@ -143,7 +150,7 @@
         if (close || closeAfterResponse) {
             pipelined.forEach(ReferenceCountUtil::release);
             pipelined.clear();
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            closeWhenSent();
             return;
         }
         ctx.channel().config().setAutoRead(true);
--- a/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
@@ -113,13 +113,13 @@
         stopping = value;
     }
 
-    /** Closes connections that have no request in progress, and accepts no new ones. */
+    /** Closes connections that have no request in progress, once their last response is sent, and accepts no new ones. */
     public void closeIdle() {
         if (serverChannel != null) {
             var unused = serverChannel.close();
         }
         List<ClientChannel> idle = connections.stream().filter(c -> !c.isBusy()).toList();
-        idle.forEach(ClientChannel::close);
+        idle.forEach(ClientChannel::closeWhenSent);
     }
 
     /**
