Show that a host out of step refuses streams of a version that it does not know

Not reproduced with servers that have new ids: the version comes from the program's row, read from the store for each resumption, so that neither the host's list of servers nor its cache of the program stands for it. The test held before any change; it guards against taking either for the truth.

--- a/gateway/src/test/java/org/celerygw/gateway/forward/ResumedStreamTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ResumedStreamTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import org.celerygw.gateway.net.HttpListener;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -90,6 +91,38 @@
         }
     }
 
+    /**
+     * Guards against a host that missed how servers of a new version joined, and goes on at another version with a stream
+     * that began there through another host. Its cache of the program is from before, with reservations made ahead.
+     */
+    @Test(dataProvider = "programs")
+    public void hostThatDoesNotKnowTheVersionOfAResumedStreamRefusesIt(String program) throws Exception {
+        ScriptedServer old = startServer("v1", hangsAfterFirstEvent("v1"));
+        for (int i = 0; i < 3; i++) {
+            sendUntilEvent(streamRequest("early" + i, program, ""));
+        }
+        HttpListener outOfStep = listener;
+        startHost();
+        register(old, "v1");
+        startServer("v2", hangsAfterFirstEvent("v2"));
+        HttpListener inStep = listener;
+        int begunAtNew = 0;
+        int joined = 0;
+        for (int i = 0; i < 12; i++) {
+            listener = inStep;
+            boolean isNew = sendUntilEvent(streamRequest("a" + i, program, "")).contains("data: v2");
+            listener = outOfStep;
+            String resumed = sendRequest(streamRequest("b" + i, program, "resumes: a" + i + "\r\nlast-event: 1\r\n"));
+            begunAtNew += isNew ? 1 : 0;
+            joined += isNew && !resumed.startsWith("HTTP/1.1 503") ? 1 : 0;
+            listener = inStep;
+            String again = sendRequest(streamRequest("c" + i, program, "resumes: a" + i + "\r\nlast-event: 1\r\n"));
+            assertEquals(chunkedBody(again), "id: 2\ndata: " + (isNew ? "v2" : "v1") + "\n\n", "stream " + i);
+        }
+        assertTrue(begunAtNew > 0, "no stream began at version v2");
+        assertEquals(joined, 0);
+    }
+
     @Test
     public void resumedStreamIsRefusedAsNotRunWhenItsVersionIsGone() throws Exception {
         startServer("v1", hangsAfterFirstEvent("v1"));
