--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -545,6 +545,59 @@
     return cutOff_;
   }
 
+  public static final int SEQUENCE_FIELD_NUMBER = 15;
+  private int sequence_ = 0;
+  /**
+   * <pre>
+   * differs between consecutive digests of a host; 0 from hosts of earlier releases
+   * </pre>
+   *
+   * <code>fixed32 sequence = 15;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public int getSequence() {
+    return sequence_;
+  }
+
+  public static final int CONTINUED_FIELD_NUMBER = 16;
+  private org.celerygw.core.gen.peers.DigestPart continued_;
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   * @return Whether the continued field is set.
+   */
+  @java.lang.Override
+  public boolean hasContinued() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   * @return The continued.
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.DigestPart getContinued() {
+    return continued_ == null ? org.celerygw.core.gen.peers.DigestPart.getDefaultInstance() : continued_;
+  }
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.DigestPartOrBuilder getContinuedOrBuilder() {
+    return continued_ == null ? org.celerygw.core.gen.peers.DigestPart.getDefaultInstance() : continued_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -609,6 +662,12 @@
     if (cutOff_ != false) {
       output.writeBool(14, cutOff_);
     }
+    if (sequence_ != 0) {
+      output.writeFixed32(15, sequence_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(16, getContinued());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -695,6 +754,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(14, cutOff_);
     }
+    if (sequence_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed32Size(15, sequence_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, getContinued());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -744,6 +811,13 @@
         .equals(other.getSuspectsList())) return false;
     if (getCutOff()
         != other.getCutOff()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (hasContinued() != other.hasContinued()) return false;
+    if (hasContinued()) {
+      if (!getContinued()
+          .equals(other.getContinued())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -800,6 +874,12 @@
     hash = (37 * hash) + CUT_OFF_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getCutOff());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + getSequence();
+    if (hasContinued()) {
+      hash = (37 * hash) + CONTINUED_FIELD_NUMBER;
+      hash = (53 * hash) + getContinued().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -956,6 +1036,7 @@
         internalGetPermitRequestFieldBuilder();
         internalGetPermitReplyFieldBuilder();
         internalGetSuspectsFieldBuilder();
+        internalGetContinuedFieldBuilder();
       }
     }
     @java.lang.Override
@@ -996,6 +1077,12 @@
       }
       bitField0_ = (bitField0_ & ~0x00001000);
       cutOff_ = false;
+      sequence_ = 0;
+      continued_ = null;
+      if (continuedBuilder_ != null) {
+        continuedBuilder_.dispose();
+        continuedBuilder_ = null;
+      }
       return this;
     }
 
@@ -1095,6 +1182,15 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.cutOff_ = cutOff_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.continued_ = continuedBuilder_ == null
+            ? continued_
+            : continuedBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1210,6 +1306,12 @@
       if (other.getCutOff() != false) {
         setCutOff(other.getCutOff());
       }
+      if (other.getSequence() != 0) {
+        setSequence(other.getSequence());
+      }
+      if (other.hasContinued()) {
+        mergeContinued(other.getContinued());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1342,6 +1444,18 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 125: {
+              sequence_ = input.readFixed32();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 125
+            case 130: {
+              input.readMessage(
+                  internalGetContinuedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2922,6 +3036,207 @@
       return this;
     }
 
+    private int sequence_ ;
+    /**
+     * <pre>
+     * differs between consecutive digests of a host; 0 from hosts of earlier releases
+     * </pre>
+     *
+     * <code>fixed32 sequence = 15;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public int getSequence() {
+      return sequence_;
+    }
+    /**
+     * <pre>
+     * differs between consecutive digests of a host; 0 from hosts of earlier releases
+     * </pre>
+     *
+     * <code>fixed32 sequence = 15;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(int value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * differs between consecutive digests of a host; 0 from hosts of earlier releases
+     * </pre>
+     *
+     * <code>fixed32 sequence = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      sequence_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private org.celerygw.core.gen.peers.DigestPart continued_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.DigestPart, org.celerygw.core.gen.peers.DigestPart.Builder, org.celerygw.core.gen.peers.DigestPartOrBuilder> continuedBuilder_;
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     * @return Whether the continued field is set.
+     */
+    public boolean hasContinued() {
+      return ((bitField0_ & 0x00008000) != 0);
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     * @return The continued.
+     */
+    public org.celerygw.core.gen.peers.DigestPart getContinued() {
+      if (continuedBuilder_ == null) {
+        return continued_ == null ? org.celerygw.core.gen.peers.DigestPart.getDefaultInstance() : continued_;
+      } else {
+        return continuedBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public Builder setContinued(org.celerygw.core.gen.peers.DigestPart value) {
+      if (continuedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        continued_ = value;
+      } else {
+        continuedBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public Builder setContinued(
+        org.celerygw.core.gen.peers.DigestPart.Builder builderForValue) {
+      if (continuedBuilder_ == null) {
+        continued_ = builderForValue.build();
+      } else {
+        continuedBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public Builder mergeContinued(org.celerygw.core.gen.peers.DigestPart value) {
+      if (continuedBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0) &&
+          continued_ != null &&
+          continued_ != org.celerygw.core.gen.peers.DigestPart.getDefaultInstance()) {
+          getContinuedBuilder().mergeFrom(value);
+        } else {
+          continued_ = value;
+        }
+      } else {
+        continuedBuilder_.mergeFrom(value);
+      }
+      if (continued_ != null) {
+        bitField0_ |= 0x00008000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public Builder clearContinued() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      continued_ = null;
+      if (continuedBuilder_ != null) {
+        continuedBuilder_.dispose();
+        continuedBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public org.celerygw.core.gen.peers.DigestPart.Builder getContinuedBuilder() {
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return internalGetContinuedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    public org.celerygw.core.gen.peers.DigestPartOrBuilder getContinuedOrBuilder() {
+      if (continuedBuilder_ != null) {
+        return continuedBuilder_.getMessageOrBuilder();
+      } else {
+        return continued_ == null ?
+            org.celerygw.core.gen.peers.DigestPart.getDefaultInstance() : continued_;
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host: what did not fit into the digest itself
+     * </pre>
+     *
+     * <code>.celerygw.peers.DigestPart continued = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.DigestPart, org.celerygw.core.gen.peers.DigestPart.Builder, org.celerygw.core.gen.peers.DigestPartOrBuilder> 
+        internalGetContinuedFieldBuilder() {
+      if (continuedBuilder_ == null) {
+        continuedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.core.gen.peers.DigestPart, org.celerygw.core.gen.peers.DigestPart.Builder, org.celerygw.core.gen.peers.DigestPartOrBuilder>(
+                getContinued(),
+                getParentForChildren(),
+                isClean());
+        continued_ = null;
+      }
+      return continuedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -294,4 +294,41 @@
    * @return The cutOff.
    */
   boolean getCutOff();
+
+  /**
+   * <pre>
+   * differs between consecutive digests of a host; 0 from hosts of earlier releases
+   * </pre>
+   *
+   * <code>fixed32 sequence = 15;</code>
+   * @return The sequence.
+   */
+  int getSequence();
+
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   * @return Whether the continued field is set.
+   */
+  boolean hasContinued();
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   * @return The continued.
+   */
+  org.celerygw.core.gen.peers.DigestPart getContinued();
+  /**
+   * <pre>
+   * only in a datagram without host: what did not fit into the digest itself
+   * </pre>
+   *
+   * <code>.celerygw.peers.DigestPart continued = 16;</code>
+   */
+  org.celerygw.core.gen.peers.DigestPartOrBuilder getContinuedOrBuilder();
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_DigestPart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_DigestPart_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peers_CrashSuspect_descriptor;
   static final 
@@ -91,7 +96,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013peers.proto\022\016celerygw.peers\032\013store.pro" +
-      "to\"\364\003\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
+      "to\"\265\004\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
       "rsion\030\002 \001(\003\022\025\n\rstore_answers\030\003 \001(\010\022\020\n\010st" +
       "ore_ms\030\004 \001(\005\022\017\n\007leaving\030\005 \001(\010\022)\n\005loads\030\006" +
       " \003(\0132\032.celerygw.peers.ServerLoad\022\014\n\004zone" +
@@ -101,36 +106,42 @@
       "\013 \001(\0132\035.celerygw.peers.PermitRequest\0221\n\014" +
       "permit_reply\030\014 \001(\0132\033.celerygw.peers.Perm" +
       "itReply\022.\n\010suspects\030\r \003(\0132\034.celerygw.pee" +
-      "rs.CrashSuspect\022\017\n\007cut_off\030\016 \001(\010\032G\n\014Wait" +
-      "ingEntry\022\013\n\003key\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.c" +
-      "elerygw.peers.Waiting:\0028\001\"\205\001\n\014CrashSuspe" +
-      "ct\022\017\n\007request\030\001 \001(\006\022\014\n\004path\030\002 \001(\010\022(\n\004run" +
-      "s\030\003 \003(\0132\032.celerygw.peers.CrashedRun\022\026\n\016s" +
-      "uccess_age_ms\030\004 \001(\003\022\024\n\014probe_age_ms\030\005 \001(" +
-      "\003\"[\n\nCrashedRun\022\016\n\006server\030\001 \001(\007\022\023\n\013sent_" +
-      "age_ms\030\002 \001(\003\022\024\n\014ended_age_ms\030\003 \001(\003\022\022\n\nha" +
-      "d_result\030\004 \001(\010\"X\n\rPermitRequest\022\n\n\002id\030\001 " +
-      "\001(\003\022\016\n\006server\030\002 \001(\t\022\023\n\013limit_per_s\030\003 \001(\001" +
-      "\022\026\n\016returns_unused\030\004 \001(\010\"X\n\013PermitReply\022" +
-      "\n\n\002id\030\001 \001(\003\022,\n\006result\030\002 \001(\0162\034.celerygw.p" +
-      "eers.PermitResult\022\017\n\007wait_ms\030\003 \001(\005\",\n\007Wa" +
-      "iting\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 \001(\005" +
-      "\"l\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin_fli" +
-      "ght\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit_per" +
-      "_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\"\301\001\n\013Relay" +
-      "edCall\022\021\n\tpartition\030\001 \001(\005\022-\n\005write\030\002 \001(\013" +
-      "2\034.celerygw.store.WriteRequestH\000\022+\n\004read" +
-      "\030\003 \001(\0132\033.celerygw.store.ReadRequestH\000\022+\n" +
-      "\004scan\030\004 \001(\0132\033.celerygw.store.ScanRequest" +
-      "H\000\022\016\n\004feed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014RelayedRe" +
-      "ply\022-\n\007written\030\001 \001(\0132\032.celerygw.store.Wr" +
-      "iteReplyH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw.stor" +
-      "e.RowsReplyH\000\022(\n\004feed\030\003 \001(\0132\030.celerygw.p" +
-      "eers.FeedRowsH\000B\007\n\005reply\"C\n\010FeedRows\022\017\n\007" +
-      "version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celerygw.s" +
-      "tore.TableRow*5\n\014PermitResult\022\r\n\tELSEWHE" +
-      "RE\020\000\022\013\n\007GRANTED\020\001\022\t\n\005LATER\020\002B\037\n\033org.cele" +
-      "rygw.core.gen.peersP\001b\006proto3"
+      "rs.CrashSuspect\022\017\n\007cut_off\030\016 \001(\010\022\020\n\010sequ" +
+      "ence\030\017 \001(\007\022-\n\tcontinued\030\020 \001(\0132\032.celerygw" +
+      ".peers.DigestPart\032G\n\014WaitingEntry\022\013\n\003key" +
+      "\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.celerygw.peers.W" +
+      "aiting:\0028\001\"\230\001\n\nDigestPart\022\014\n\004host\030\001 \001(\t\022" +
+      "\020\n\010sequence\030\002 \001(\007\022)\n\005loads\030\003 \003(\0132\032.celer" +
+      "ygw.peers.ServerLoad\022.\n\010suspects\030\004 \003(\0132\034" +
+      ".celerygw.peers.CrashSuspect\022\017\n\007started\030" +
+      "\005 \003(\007\"\205\001\n\014CrashSuspect\022\017\n\007request\030\001 \001(\006\022" +
+      "\014\n\004path\030\002 \001(\010\022(\n\004runs\030\003 \003(\0132\032.celerygw.p" +
+      "eers.CrashedRun\022\026\n\016success_age_ms\030\004 \001(\003\022" +
+      "\024\n\014probe_age_ms\030\005 \001(\003\"[\n\nCrashedRun\022\016\n\006s" +
+      "erver\030\001 \001(\007\022\023\n\013sent_age_ms\030\002 \001(\003\022\024\n\014ende" +
+      "d_age_ms\030\003 \001(\003\022\022\n\nhad_result\030\004 \001(\010\"X\n\rPe" +
+      "rmitRequest\022\n\n\002id\030\001 \001(\003\022\016\n\006server\030\002 \001(\t\022" +
+      "\023\n\013limit_per_s\030\003 \001(\001\022\026\n\016returns_unused\030\004" +
+      " \001(\010\"X\n\013PermitReply\022\n\n\002id\030\001 \001(\003\022,\n\006resul" +
+      "t\030\002 \001(\0162\034.celerygw.peers.PermitResult\022\017\n" +
+      "\007wait_ms\030\003 \001(\005\",\n\007Waiting\022\021\n\tunder_way\030\001" +
+      " \001(\005\022\016\n\006others\030\002 \001(\005\"l\n\nServerLoad\022\016\n\006se" +
+      "rver\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010doubtfu" +
+      "l\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014limit_ag" +
+      "e_ms\030\005 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartition\030" +
+      "\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.store.Wr" +
+      "iteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celerygw.st" +
+      "ore.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.celery" +
+      "gw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\tH\000B\006" +
+      "\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001 \001(\013" +
+      "2\032.celerygw.store.WriteReplyH\000\022)\n\004rows\030\002" +
+      " \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n\004fee" +
+      "d\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B\007\n\005r" +
+      "eply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n\004row" +
+      "s\030\002 \003(\0132\030.celerygw.store.TableRow*5\n\014Per" +
+      "mitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020\001\022\t\n" +
+      "\005LATER\020\002B\037\n\033org.celerygw.core.gen.peersP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -142,63 +153,69 @@
     internal_static_celerygw_peers_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_descriptor,
-        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", "CutOff", });
+        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", "CutOff", "Sequence", "Continued", });
     internal_static_celerygw_peers_Digest_WaitingEntry_descriptor =
       internal_static_celerygw_peers_Digest_descriptor.getNestedType(0);
     internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_WaitingEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
-    internal_static_celerygw_peers_CrashSuspect_descriptor =
+    internal_static_celerygw_peers_DigestPart_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_celerygw_peers_DigestPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_DigestPart_descriptor,
+        new java.lang.String[] { "Host", "Sequence", "Loads", "Suspects", "Started", });
+    internal_static_celerygw_peers_CrashSuspect_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_celerygw_peers_CrashSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_CrashSuspect_descriptor,
         new java.lang.String[] { "Request", "Path", "Runs", "SuccessAgeMs", "ProbeAgeMs", });
     internal_static_celerygw_peers_CrashedRun_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_celerygw_peers_CrashedRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_CrashedRun_descriptor,
         new java.lang.String[] { "Server", "SentAgeMs", "EndedAgeMs", "HadResult", });
     internal_static_celerygw_peers_PermitRequest_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_celerygw_peers_PermitRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_PermitRequest_descriptor,
         new java.lang.String[] { "Id", "Server", "LimitPerS", "ReturnsUnused", });
     internal_static_celerygw_peers_PermitReply_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_celerygw_peers_PermitReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_PermitReply_descriptor,
         new java.lang.String[] { "Id", "Result", "WaitMs", });
     internal_static_celerygw_peers_Waiting_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_celerygw_peers_Waiting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Waiting_descriptor,
         new java.lang.String[] { "UnderWay", "Others", });
     internal_static_celerygw_peers_ServerLoad_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_celerygw_peers_ServerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_ServerLoad_descriptor,
         new java.lang.String[] { "Server", "InFlight", "Doubtful", "LimitPerS", "LimitAgeMs", });
     internal_static_celerygw_peers_RelayedCall_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_celerygw_peers_RelayedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedCall_descriptor,
         new java.lang.String[] { "Partition", "Write", "Read", "Scan", "Feed", "Call", });
     internal_static_celerygw_peers_RelayedReply_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_celerygw_peers_RelayedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedReply_descriptor,
         new java.lang.String[] { "Written", "Rows", "Feed", "Reply", });
     internal_static_celerygw_peers_FeedRows_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_celerygw_peers_FeedRows_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_FeedRows_descriptor,
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -30,7 +30,7 @@
     public static final long MAX_DIGEST_AGE_MS = 3_000;
 
     private static final int MIN_FAILURE_REPORTS = 2;
-    private static final int MAX_LIMITS_TOLD = 100;
+    private static final int MAX_LIMITS_TOLD = 600;
     private static final int LIVENESS_ROUNDS = 2;
 
     private final int fanout;
--- a/core/src/main/java/org/celerygw/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/celerygw/core/quarantine/Quarantine.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.celerygw.core.gen.peers.CrashSuspect;
 
@@ -32,7 +33,10 @@
     private static final double PROBE_SPREAD = 0.5;
 
     private static final int MAX_SUSPECTS = 5_000;
-    private static final int MAX_TOLD_SUSPECTS = 48;
+    private static final int MAX_TOLD_SUSPECTS = 64;
+    /** The suspects with the most crashes, which are told each time; the others take turns. */
+    private static final int ALWAYS_TOLD_SUSPECTS = 32;
+
     private static final long TOLD_AFTER_CHANGE_MS = 10_000;
 
     private final String host;
@@ -45,6 +49,8 @@
         }
     };
 
+    private int nextInTurn;
+
     private record Key(long hash, boolean isPath) {
         static Stream<Key> of(Fingerprint request) {
             return Stream.of(new Key(request.path(), true), new Key(request.content(), false));
@@ -144,19 +150,27 @@
     }
 
     /**
-     * Returns the suspects to tell the peers: those with the most crashes, and of these the latest.
+     * Returns the suspects to tell the peers: those with the most crashes, and of these the latest, and some of the others in
+     * turn.
      *
      * @param nowMs the current time, in ms
      * @return at most {@value #MAX_TOLD_SUSPECTS} suspects, with the ages of what is known of them
      */
     public List<CrashSuspect> suspectsToTell(long nowMs) {
-        return suspects.entrySet().stream()
+        List<Map.Entry<Key, Suspect>> toTell = suspects.entrySet().stream()
                 .filter(entry -> entry.getValue().lastChangeMs() >= nowMs - TOLD_AFTER_CHANGE_MS
                         || entry.getValue().inQuarantine())
                 .sorted(Comparator.<Map.Entry<Key, Suspect>>comparingDouble(
                                 entry -> -entry.getValue().crashes())
                         .thenComparingLong(entry -> -entry.getValue().lastChangeMs()))
-                .limit(MAX_TOLD_SUSPECTS)
+                .toList();
+        int always = Math.min(ALWAYS_TOLD_SUSPECTS, toTell.size());
+        int others = toTell.size() - always;
+        int inTurn = Math.min(MAX_TOLD_SUSPECTS - always, others);
+        int firstInTurn = nextInTurn;
+        nextInTurn = others == 0 ? 0 : (firstInTurn + inTurn) % others;
+        return IntStream.range(0, always + inTurn)
+                .mapToObj(i -> toTell.get(i < always ? i : always + (firstInTurn + i - always) % others))
                 .map(entry -> entry.getValue()
                         .encode(entry.getKey().hash(), entry.getKey().isPath(), nowMs))
                 .toList();
--- a/core/src/test/java/org/celerygw/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/celerygw/core/quarantine/QuarantineTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.CrashedRun;
@@ -119,6 +121,25 @@
         assertEquals(hosts.get(1).remainingMs(request, 2_100), 0);
     }
 
+    /** Guards against a request whose crashes no other host hears of, because many others are suspects as well. */
+    @Test
+    public void allSuspectsAreToldInTurnAndTheWorstEachTime() {
+        Quarantine own = new Quarantine("host");
+        IntStream.range(0, 100).forEach(i -> crash(own, request("/d/" + i, "x"), i, 1_000 + i));
+        Fingerprint harmful = request("/d/harmful", "x");
+        IntStream.range(0, 3).forEach(i -> crash(own, harmful, i, 2_000 + 100L * i));
+        Set<Long> told = new HashSet<>();
+        for (int i = 0; i < 8; i++) {
+            List<CrashSuspect> suspects = own.suspectsToTell(3_000);
+            assertTrue(suspects.stream().anyMatch(suspect -> suspect.getRequest() == harmful.content()));
+            assertEquals(
+                    suspects.stream().map(CrashSuspect::getRequest).distinct().count(), suspects.size());
+            suspects.forEach(suspect -> told.add(suspect.getRequest()));
+        }
+        // Each request has two fingerprints: of its path, and of its content.
+        assertEquals(told.size(), 202);
+    }
+
     @Test
     public void whatPeersTellIsBoundedAndBadValuesAreIgnored() {
         Quarantine own = new Quarantine("host");
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -53,6 +53,10 @@
     /** Registers the metrics of the peers and programs; called once both have been created. */
     void registerPeersAndPrograms(Peers peers, ProgramStore programStore) {
         registerCounter("celerygw_relayed_calls_total", "Store calls of this host made by a peer", peers::relayedCalls);
+        registerCounter(
+                "celerygw_peer_datagrams_unread_total",
+                "Datagrams of other hosts that could not be read",
+                peers::unreadDatagrams);
         registerCounter("celerygw_turns_kept_total", "Turns kept in the store", programStore::storedTurns);
         registerCounter(
                 "celerygw_turns_reserved_ahead_total",
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -7,7 +7,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -23,9 +25,11 @@
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.Digest;
+import org.celerygw.core.gen.peers.DigestPart;
 import org.celerygw.core.gen.peers.PermitReply;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.DigestSplitter;
 import org.celerygw.core.peers.DigestTargets;
 import org.celerygw.core.peers.FleetLoadEstimator;
 import org.celerygw.core.peers.HostGroup;
@@ -47,6 +51,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final int ROUND_SIZE = 6;
     private static final long CHANGE_DELAY_MS = 15;
+    /** Hosts of earlier releases send their digest in one datagram, however long. */
+    private static final int MAX_RECEIVED_BYTES = 16_384;
 
     private final Clock clock;
     private final Scheduler scheduler;
@@ -62,6 +68,9 @@
     private final Permits permits;
     private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
+    private final DigestSplitter splitter = new DigestSplitter();
+    private int lastDatagrams = 1;
+    private long unreadDatagrams;
     private boolean changePending;
     private boolean suspectsPending;
 
@@ -101,6 +110,7 @@
         new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_RECEIVED_BYTES))
                 .handler(new Receiver())
                 .bind(self)
                 .addListener((ChannelFuture bound) -> {
@@ -137,7 +147,8 @@
     void loadChanged() {
         if (!changePending) {
             changePending = true;
-            scheduler.schedule(CHANGE_DELAY_MS, () -> {
+            // A digest of several datagrams is sent as much less often, so that their number stays the same.
+            scheduler.schedule(CHANGE_DELAY_MS * lastDatagrams, () -> {
                 changePending = false;
                 boolean withSuspects = suspectsPending;
                 suspectsPending = false;
@@ -157,20 +168,27 @@
         if (channel == null || receivers.isEmpty()) {
             return;
         }
-        byte[] bytes = localDigest
+        Digest digest = localDigest
                 .create(withSuspects)
                 .setHost(host)
                 .setZone(zone)
                 .setGrantsPermits(permits.grants())
                 .addAllLoads(FleetLoadEstimator.localLoads(servers, clock.nowMs()))
-                .build()
-                .toByteArray();
-        receivers.forEach(p -> {
+                .build();
+        List<byte[]> datagrams =
+                splitter.split(digest).stream().map(Digest::toByteArray).toList();
+        lastDatagrams = datagrams.size();
+        datagrams.forEach(bytes -> receivers.forEach(p -> {
             var unused = channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), p.address));
-        });
+        }));
         channel.flush();
     }
 
+    /** Returns how many datagrams of peers could not be read. */
+    long unreadDatagrams() {
+        return unreadDatagrams;
+    }
+
     /** Sends a request for a permit to the host of that name; does nothing if the host is not known. */
     void send(String receiver, PermitRequest request) {
         Digest datagram = Digest.newBuilder().setPermitRequest(request).build();
@@ -210,34 +228,65 @@
             Digest digest = Digest.parseFrom(bytes);
             peers.add(sender);
             Peer peer = peers.get(sender);
-            if (peer == null || digest.getHost().isEmpty()) {
+            if (peer != null && digest.hasContinued()) {
+                receivePart(peer, digest.getContinued());
+            } else if (peer == null || digest.getHost().isEmpty()) {
                 receivePermitDatagram(sender, digest);
-                return;
-            }
-            permits.onHostAlive(digest.getHost());
-            if (peer.digest.getHost().isEmpty()) {
-                LOG.atInfo()
-                        .addKeyValue("peer", digest.getHost())
-                        .addKeyValue("address", sender)
-                        .log("peers: first digest from a host");
+            } else {
+                receiveDigest(sender, peer, digest);
             }
-            boolean counted = clock.nowMs() - peer.lastSeenAtMs < FleetLoadEstimator.MAX_DIGEST_AGE_MS;
-            fleetLoadEstimator.applyChange(
-                    counted ? peer.digest : null, digest, group.peers().contains(peer), servers);
-            onDigest.accept(digest);
-            FleetLoadEstimator.applyLimits(digest, servers, clock.nowMs()).forEach(server -> LOG.atWarn()
-                    .addKeyValue("server", server.entry().id())
-                    .addKeyValue("limitPerS", server.limit().perS(clock.nowMs()))
-                    .addKeyValue("peer", digest.getHost())
-                    .log("servers: a peer tells of a request limit"));
-            peer.digest = digest;
-            peer.name = digest.getHost();
-            peer.lastSeenAtMs = clock.nowMs();
         } catch (InvalidProtocolBufferException e) {
-            LOG.atWarn().addKeyValue("address", sender).log("peers: malformed datagram dropped");
+            unreadDatagrams++;
+            LOG.atWarn()
+                    .addKeyValue("address", sender)
+                    .addKeyValue("bytes", bytes.length)
+                    .log("peers: malformed datagram dropped");
         }
     }
 
+    private void receiveDigest(InetSocketAddress sender, Peer peer, Digest digest) {
+        permits.onHostAlive(digest.getHost());
+        if (peer.digest.getHost().isEmpty()) {
+            LOG.atInfo()
+                    .addKeyValue("peer", digest.getHost())
+                    .addKeyValue("address", sender)
+                    .log("peers: first digest from a host");
+        }
+        boolean counted = clock.nowMs() - peer.lastSeenAtMs < FleetLoadEstimator.MAX_DIGEST_AGE_MS;
+        applyLoads(counted ? peer.digest : null, digest, peer);
+        peer.digest = digest;
+        peer.name = digest.getHost();
+        peer.lastSeenAtMs = clock.nowMs();
+    }
+
+    /** The limits and suspects of a part hold whatever digest it belongs to; its loads only beside those of its own. */
+    private void receivePart(Peer peer, DigestPart part) {
+        if (part.getHost().isEmpty() || !part.getHost().equals(peer.digest.getHost())) {
+            return;
+        }
+        if (DigestSplitter.continues(peer.digest, part)) {
+            applyLoads(null, DigestSplitter.toDigest(part), peer);
+            peer.digest =
+                    peer.digest.toBuilder().addAllLoads(part.getLoadsList()).build();
+        } else {
+            applyFacts(DigestSplitter.toDigest(part));
+        }
+    }
+
+    private void applyLoads(@Nullable Digest previous, Digest current, Peer peer) {
+        fleetLoadEstimator.applyChange(previous, current, group.peers().contains(peer), servers);
+        applyFacts(current);
+    }
+
+    private void applyFacts(Digest digest) {
+        onDigest.accept(digest);
+        FleetLoadEstimator.applyLimits(digest, servers, clock.nowMs()).forEach(server -> LOG.atWarn()
+                .addKeyValue("server", server.entry().id())
+                .addKeyValue("limitPerS", server.limit().perS(clock.nowMs()))
+                .addKeyValue("peer", digest.getHost())
+                .log("servers: a peer tells of a request limit"));
+    }
+
     /** Receives the datagrams of the peers. */
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -225,6 +225,15 @@
                 .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
     }
 
+    /**
+     * Returns how many datagrams of other hosts could not be read.
+     *
+     * @return the number since the start
+     */
+    public long unreadDatagrams() {
+        return digests.unreadDatagrams();
+    }
+
     /**
      * Returns how many requests wait at the other hosts of this host's group until an engine of a service has room.
      *
