--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -20,7 +20,6 @@
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
-import org.celerygw.core.scheduling.GracefulStop;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.ServerList;
@@ -68,7 +67,6 @@
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
-    private static final long STOP_CHECK_INTERVAL_MS = 50;
     private static final long PROGRAM_CACHE_BYTES = 24L << 20;
 
     private final EventLoop loop;
@@ -242,14 +240,8 @@
             if (!stopping) {
                 stopping = true;
                 logReadinessChange();
-                LOG.atInfo()
-                        .addKeyValue("underWay", forwarder.requestsInFlight())
-                        .log("host: stopping");
-                clientListeners().forEach(l -> l.stopping(true));
-                GracefulStop stop = new GracefulStop(clock.nowMs(), settings.stopGraceMs());
-                forwarder.beginStop(stop);
-                serverRelay.beginStop();
-                completeStop(stop, promise);
+                new HostStop(clock, scheduler, clientListeners(), forwarder, serverRelay, settings.stopGraceMs())
+                        .start(promise::complete);
             }
         });
         return promise.future();
@@ -356,35 +348,6 @@
         scheduler.schedule(CLEANUP_INTERVAL_MS, this::cleanUp);
     }
 
-    /** Checks periodically whether the stop is complete; stops accepting once the balancer has had time to notice. */
-    private void completeStop(GracefulStop stop, Promise<Void> stopped) {
-        long nowMs = clock.nowMs();
-        boolean over = nowMs >= stop.answerUntilMs();
-        if (over) {
-            LOG.atInfo()
-                    .addKeyValue("underWay", forwarder.requestsInFlight())
-                    .addKeyValue("relayed", serverRelay.requestsInFlight())
-                    .log("host: no time left; answering what is under way");
-            forwarder.endAll();
-        }
-        if (!stop.acceptsConnections(nowMs)) {
-            clientListeners().forEach(HttpListener::closeIdle);
-        }
-        if (over || isDrained(stop, nowMs)) {
-            LOG.atInfo().log("host: stopped");
-            scheduler.schedule(STOP_CHECK_INTERVAL_MS, stopped::complete);
-        } else {
-            scheduler.schedule(STOP_CHECK_INTERVAL_MS, () -> completeStop(stop, stopped));
-        }
-    }
-
-    private boolean isDrained(GracefulStop stop, long nowMs) {
-        return !stop.acceptsConnections(nowMs)
-                && forwarder.requestsInFlight() == 0
-                && serverRelay.requestsInFlight() == 0
-                && clientListeners().stream().allMatch(l -> l.openConnections() == 0);
-    }
-
     private void onStoreUnavailable(String feed) {
         servers.onStoreUnavailable();
         if (!storeUnavailable) {
