--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -33,11 +33,13 @@
 import org.celerygw.gateway.MonotonicClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against a datagram that costs more than itself: damaged, foreign or too long ones between sound digests. */
 public final class DigestMutationTest {
-    private static final long SEED = Long.getLong("celerygw.firstSeed", 1);
+    private static final int FIRST_SEED = Integer.getInteger("celerygw.firstSeed", 1);
+    private static final int SEEDS = Integer.getInteger("celerygw.seeds", 1);
     private static final int MUTATIONS = 10_000;
     private static final int MUTATIONS_BETWEEN_DIGESTS = 50;
     private static final int MAX_UDP_BYTES = 65_507;
@@ -101,9 +103,16 @@
         }
     }
 
-    @Test(timeOut = 120_000)
-    public void soundDigestsAreReadBetweenDamagedDatagrams() throws Exception {
-        Random random = new Random(SEED);
+    @DataProvider
+    public static Object[][] seeds() {
+        return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
+                .mapToObj(seed -> new Object[] {(long) seed})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds", timeOut = 120_000)
+    public void soundDigestsAreReadBetweenDamagedDatagrams(long seed) throws Exception {
+        Random random = new Random(seed);
         DigestSplitter splitter = new DigestSplitter();
         long version = 1_000_000_000_000L;
         for (int sent = 0; sent < MUTATIONS; sent += MUTATIONS_BETWEEN_DIGESTS) {
