--- a/core/src/main/java/org/celerygw/core/peers/DigestSplitter.java
+++ b/core/src/main/java/org/celerygw/core/peers/DigestSplitter.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.DigestPart;
@@ -48,8 +48,11 @@
             return List.of(whole);
         }
         Packer packer = new Packer(whole);
-        List<ServerLoad> limited =
-                sortedLoads(digest).filter(DigestSplitter::hasLimit).toList();
+        Map<Boolean, List<ServerLoad>> loadsByLimit = digest.getLoadsList().stream()
+                .sorted(Comparator.comparing((ServerLoad load) -> !load.getDoubtful())
+                        .thenComparing(load -> -load.getInFlight()))
+                .collect(Collectors.partitioningBy(load -> load.getLimitPerS() > 0));
+        List<ServerLoad> limited = loadsByLimit.get(true);
         // By turns, so that neither displaces the other.
         for (int i = 0; i < Math.max(limited.size(), digest.getSuspectsCount()); i++) {
             if (i < digest.getSuspectsCount()) {
@@ -59,21 +62,11 @@
                 packer.add(limited.get(i));
             }
         }
-        sortedLoads(digest).filter(load -> !hasLimit(load)).forEach(packer::add);
+        loadsByLimit.get(false).forEach(packer::add);
         digest.getStartedList().forEach(packer::add);
         return packer.datagrams();
     }
 
-    private static Stream<ServerLoad> sortedLoads(Digest digest) {
-        return digest.getLoadsList().stream()
-                .sorted(Comparator.comparing((ServerLoad load) -> !load.getDoubtful())
-                        .thenComparing(load -> -load.getInFlight()));
-    }
-
-    private static boolean hasLimit(ServerLoad load) {
-        return load.getLimitPerS() > 0;
-    }
-
     /**
      * Returns whether a part continues a digest.
      *
@@ -122,13 +115,16 @@
         }
 
         private static void addWaiting(Digest.Builder digest, Map<String, Waiting> waiting) {
-            int limitBytes = digest.build().getSerializedSize() + MAX_WAITING_BYTES;
+            int waitingBytes = 0;
             for (Map.Entry<String, Waiting> entry : waiting.entrySet()) {
-                digest.putWaiting(entry.getKey(), entry.getValue());
-                if (digest.build().getSerializedSize() > limitBytes) {
-                    digest.removeWaiting(entry.getKey());
+                waitingBytes += Digest.newBuilder()
+                        .putWaiting(entry.getKey(), entry.getValue())
+                        .build()
+                        .getSerializedSize();
+                if (waitingBytes > MAX_WAITING_BYTES) {
                     return;
                 }
+                digest.putWaiting(entry.getKey(), entry.getValue());
             }
         }
 
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -76,7 +76,7 @@
         missingSinceMs.remove(server.id());
         TrackedServer existing = byId.get(server.id());
         if (existing != null && existing.entry().sameIncarnation(server)) {
-            existing.update(server);
+            existing.onRegistered(server);
             return;
         }
         if (existing != null) {
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -215,11 +215,7 @@
         return limit;
     }
 
-    void update(BackendServer newEntry) {
-        entry = newEntry;
-    }
-
-    /** Records that the entry was added to the list, for the first time or again. */
+    /** Records the entry as registered now, for the first time, changed, or again. */
     void onRegistered(BackendServer newEntry) {
         entry = newEntry;
         hasLeft = false;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -369,20 +369,19 @@
                 && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.closeIdle(currentServer);
         }
-        if (possibleExecutions > 0 || clientResponse.started()) {
-            fail(504, "deadline exceeded");
-        } else {
-            refuse(new Forwarder.Refusal(
-                    503, "deadline exceeded before the request could be executed", BUSY_RETRY_AFTER_MS));
-        }
+        endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
     }
 
     /** Answers the request, since this host has no time left. */
     void endForStop() {
+        endOutOfTime("the host stops", 0);
+    }
+
+    private void endOutOfTime(String reason, long retryAfterMs) {
         if (possibleExecutions > 0 || clientResponse.started()) {
-            fail(504, "the host stops");
+            fail(504, reason);
         } else {
-            refuse(new Forwarder.Refusal(503, "the host stops before the request could be executed", 0));
+            refuse(new Forwarder.Refusal(503, reason + " before the request could be executed", retryAfterMs));
         }
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -114,9 +114,7 @@
 
     /** Closes the connection once the client has taken what was sent. */
     void closeWhenSent() {
-        if (ctx != null) {
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-        }
+        whenSent(this::close);
     }
 
     boolean shouldClose() {
