--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -166,7 +166,7 @@
                 new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
                         .nextDouble());
         metrics.registerQueue(engineQueue);
-        metrics.registerLinks(links);
+        metrics.registerLinks(links, originPools);
         metrics.registerServerProtection(servers, permits, quarantine, clock);
         this.forwarder = new Forwarder(
                 clock,
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -17,6 +17,7 @@
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.ProgramStore;
+import org.celerygw.gateway.forward.OriginPools;
 import org.celerygw.gateway.forward.ServerLinks;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -77,7 +78,7 @@
     }
 
     /** Registers the metrics of the links to the backend servers. */
-    void registerLinks(ServerLinks links) {
+    void registerLinks(ServerLinks links, OriginPools originPools) {
         registerGauge(
                 "celerygw_cut_off",
                 "1 while no backend server is reached over this host's connections",
@@ -86,6 +87,10 @@
                 "celerygw_requests_through_peers_total",
                 "Requests that this host sent to a backend server through a peer",
                 links::relayedRequests);
+        registerCounter(
+                "celerygw_unassigned_server_data_total",
+                "Bytes or responses of backend servers that belong to no request",
+                originPools::unassignedData);
     }
 
     /** Registers the metrics of the servers' request limits and of the requests under which servers have crashed. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -60,6 +60,7 @@
     private long serverFirstByteMs;
     private long firstByteMs;
     private int sendCount;
+    private int earlierRequests;
     private int possibleExecutions;
     private boolean ended;
     private @Nullable EngineWait engineWait;
@@ -117,6 +118,11 @@
         return sendCount;
     }
 
+    /** Returns how many requests the connection of the last send had carried before. */
+    int earlierRequests() {
+        return earlierRequests;
+    }
+
     /** Returns the sum of the times from each send to its end, in ms. */
     long serverMs() {
         return serverMs;
@@ -225,6 +231,7 @@
                 Math.max(1, remainingMs()),
                 maxConnectionIdleMs(),
                 new BackendResponseHandler(server));
+        earlierRequests = pendingRequest.earlierRequests();
         if (route.repeatable()) {
             watchForSilence(pendingRequest, server);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
@@ -22,6 +22,7 @@
     private final EventLoop eventLoop;
     private final Clock clock;
     private final Map<TrackedServer, OriginPool> poolsByServer = new HashMap<>();
+    private long unassignedDataOfRemoved;
 
     /**
      * Creates an empty set of pools.
@@ -55,6 +56,7 @@
     public void remove(TrackedServer server) {
         OriginPool pool = poolsByServer.remove(server);
         if (pool != null) {
+            unassignedDataOfRemoved += pool.unassignedData();
             pool.close();
         }
     }
@@ -91,4 +93,16 @@
                 .mapToLong(OriginPool::connectionsOpened)
                 .sum();
     }
+
+    /**
+     * Returns how often servers have sent data that belongs to no request.
+     *
+     * @return a count since the start
+     */
+    public long unassignedData() {
+        return unassignedDataOfRemoved
+                + poolsByServer.values().stream()
+                        .mapToLong(OriginPool::unassignedData)
+                        .sum();
+    }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -71,6 +71,7 @@
                     .addKeyValue("request", exchange.metadata.id())
                     .addKeyValue("server", serverId)
                     .addKeyValue("outcome", outcome)
+                    .addKeyValue("earlierRequests", exchange.earlierRequests())
                     .log("route: send ended without a complete response");
         }
     }
@@ -124,6 +125,8 @@
                 .addKeyValue("firstMs", exchange.firstByteMs())
                 .addKeyValue("serverFirstMs", exchange.serverFirstByteMs())
                 .addKeyValue("sends", exchange.sendCount())
+                .addKeyValue("server", exchange.lastServerId())
+                .addKeyValue("earlierRequests", exchange.earlierRequests())
                 .log("end: " + result);
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -277,6 +277,11 @@
             Optional.ofNullable(pending).ifPresent(OriginPool.PendingRequest::cancel);
         }
 
+        @Override
+        public int earlierRequests() {
+            return pending == null ? 0 : pending.earlierRequests();
+        }
+
         private void endDirect() {
             if (directInFlight) {
                 directInFlight = false;
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -22,12 +22,15 @@
 import java.io.ByteArrayOutputStream;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection to an origin. Carries one request at a time; it is closed when data arrives that belongs to no
  * request, and after the response in flight when that is a response to another one.
  */
 final class OriginChannel extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LoggerFactory.getLogger("origins");
     private static final int MAX_SKIPPED_RESPONSES = 16;
     /** What a part of a body costs beside its bytes, so that a response has a bounded number of them. */
     private static final int PART_OVERHEAD_BYTES = 64;
@@ -47,6 +50,7 @@
     private boolean hadForeignResponse;
     private int skippedResponses;
     private long receivedBytes;
+    private int requestsStarted;
     private boolean closed;
     private long idleSinceMs;
     private long serverKeepAliveMs = Long.MAX_VALUE;
@@ -61,6 +65,7 @@
         private final OriginRequest request;
         private final Predicate<HttpResponse> responseFilter;
         private final ResponseHandler handler;
+        private final int earlierRequests;
         private boolean sent;
         private boolean finished;
 
@@ -70,6 +75,7 @@
                 Predicate<HttpResponse> responseFilter,
                 ResponseHandler handler) {
             this.channel = channel;
+            this.earlierRequests = channel.requestsStarted;
             this.request = request;
             this.responseFilter = responseFilter;
             this.handler = handler;
@@ -84,6 +90,11 @@
             }
         }
 
+        @Override
+        public int earlierRequests() {
+            return earlierRequests;
+        }
+
         void fail() {
             if (!finished) {
                 finished = true;
@@ -95,6 +106,7 @@
     OriginPool.PendingRequest start(
             OriginRequest request, Predicate<HttpResponse> responseFilter, ResponseHandler handler) {
         Exchange next = new Exchange(this, request, responseFilter, handler);
+        requestsStarted++;
         pending = next;
         responseComplete = false;
         skippingResponse = false;
@@ -145,11 +157,27 @@
         if (pending != null && receivedBytes <= pool.maxResponseBytes()) {
             return true;
         }
+        if (pending == null) {
+            reportUnassigned("bytes without a request");
+        }
         fail();
         close();
         return false;
     }
 
+    /** Logs and counts received data that belongs to no request; once for each connection, which is closed for it. */
+    private void reportUnassigned(String what) {
+        if (closed) {
+            return;
+        }
+        pool.countUnassigned();
+        LOG.atWarn()
+                .addKeyValue("address", pool.address())
+                .addKeyValue("received", what)
+                .addKeyValue("requests", requestsStarted)
+                .log("origins: data that belongs to no request; its connection is not used again");
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         ctx = context;
@@ -164,7 +192,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (pending == null || !(message instanceof HttpObject object)) {
-                // Data without a request in flight cannot be assigned to any request.
+                reportUnassigned("data after a response");
                 close();
             } else if (object.decoderResult().isFailure()) {
                 fail();
@@ -230,7 +258,10 @@
         if (object instanceof HttpResponse head) {
             boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             skippingResponse = informational || !current.responseFilter.test(head);
-            hadForeignResponse |= skippingResponse && !informational;
+            if (skippingResponse && !informational) {
+                hadForeignResponse = true;
+                reportUnassigned("response " + head.status().code() + " to another request");
+            }
             keepAlive = HttpUtil.isKeepAlive(head);
             readKeepAliveTimeout(head);
             if (!skippingResponse) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -33,6 +33,7 @@
     private final Deque<OriginChannel> idle = new ArrayDeque<>();
     private boolean closed;
     private long connectionsOpened;
+    private long unassignedData;
 
     /**
      * The limits of a pool.
@@ -48,6 +49,13 @@
     public interface PendingRequest {
         /** Cancels the request and closes its connection; the response handler is not called any more. */
         void cancel();
+
+        /**
+         * Returns how many requests its connection had carried before.
+         *
+         * @return 0 for the first request of a connection
+         */
+        int earlierRequests();
     }
 
     /**
@@ -150,6 +158,19 @@
         return connectionsOpened;
     }
 
+    /**
+     * Returns how often connections have received data that belongs to no request.
+     *
+     * @return the number of such bytes or responses
+     */
+    public long unassignedData() {
+        return unassignedData;
+    }
+
+    void countUnassigned() {
+        unassignedData++;
+    }
+
     /** Closes connections that have been idle for too long; should be called about once a second. */
     public void sweep() {
         Iterator<OriginChannel> channels = idle.iterator();
