--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -31,6 +32,8 @@
  */
 final class OriginChannel extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LoggerFactory.getLogger("origins");
+    private static final int MAX_HEAD_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int MAX_SKIPPED_RESPONSES = 16;
     /** What a part of a body costs beside its bytes, so that a response has a bounded number of them. */
     private static final int PART_OVERHEAD_BYTES = 64;
@@ -38,6 +41,7 @@
     private static final int MAX_COLLECTED_BYTES = 65_536;
 
     private final OriginPool pool;
+    private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
     private @Nullable ChannelHandlerContext ctx;
     private @Nullable Exchange pending;
     private @Nullable ChannelFuture writeFuture;
@@ -118,6 +122,11 @@
         return next;
     }
 
+    /** Returns the handler that decodes the responses of this connection. */
+    ChannelHandler decoder() {
+        return decoder;
+    }
+
     boolean isOpen() {
         return !closed && ctx != null && ctx.channel().isActive();
     }
@@ -210,7 +219,12 @@
         passOnBody();
         if (responseComplete && pending == null) {
             responseComplete = false;
-            if (keepAlive && !hadForeignResponse && !closed && writeFuture != null && writeFuture.isSuccess()) {
+            boolean beyondResponse = decoder.holdsPartOfMessage();
+            if (beyondResponse) {
+                reportUnassigned("beginning of a response after a response");
+            }
+            boolean requestWritten = writeFuture != null && writeFuture.isSuccess();
+            if (keepAlive && requestWritten && !hadForeignResponse && !beyondResponse && !closed) {
                 pool.release(this);
             } else {
                 close();
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -7,10 +7,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -24,8 +22,6 @@
  * event loop only.
  */
 public final class OriginPool {
-    private static final int MAX_HEAD_BYTES = 32_768;
-
     private final Bootstrap bootstrap;
     private final String address;
     private final Clock clock;
@@ -111,14 +107,11 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        HttpDecoderConfig config = new HttpDecoderConfig()
-                                .setMaxHeaderSize(MAX_HEAD_BYTES)
-                                .setMaxChunkSize(65_536);
                         channel.pipeline()
                                 .addLast(
                                         new ReceivedBytesLimiter(created),
                                         new HttpRequestEncoder(),
-                                        new HttpResponseDecoder(config),
+                                        created.decoder(),
                                         created);
                     }
                 })
--- /dev/null
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ResponseValidator.java
@@ -0,0 +1,39 @@
+package org.celerygw.gateway.net;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Rejects response heads into which another one has run: a server that breaks off in a head and goes on with the next
+ * response writes what a parser takes for one head, with the status of the first and the header section of the second.
+ */
+final class ResponseValidator {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+    private ResponseValidator() {}
+
+    /** Returns whether the head has a version of HTTP/1, and no status line in its reason phrase or header section. */
+    static boolean isValid(HttpResponse head) {
+        HttpVersion version = head.protocolVersion();
+        return version.protocolName().equals("HTTP")
+                && version.majorVersion() == 1
+                && !holdsStatusLine(head.status().reasonPhrase())
+                && isValid(head.headers());
+    }
+
+    private static boolean isValid(HttpHeaders headers) {
+        for (Map.Entry<String, String> field : headers) {
+            if (holdsStatusLine(field.getKey()) || holdsStatusLine(field.getValue())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean holdsStatusLine(String text) {
+        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    }
+}
