Close a connection whose response names no request

No caller got a wrong answer from that, since ids are compared; what was left was a connection one answer behind. Now the head decides: the connection is closed and the request is retried or fails at once. RepeatedRefusalTest.connectionThatBroughtAResponse- WithoutAnIdIsNotUsedAgain: 1 connection for two requests before, 2 after.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -473,7 +473,10 @@
                     responseWriter.streaming());
             status = response.status();
             recordLimit(response);
-            if (!ended && verdict == Verdict.PASS) {
+            if (verdict == Verdict.UNSOUND) {
+                // The response to this request may still follow, so the connection is not used again.
+                giveUp("unsound");
+            } else if (!ended && verdict == Verdict.PASS) {
                 responseWriter.onHead(head, response);
             }
         }
@@ -485,7 +488,7 @@
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
             if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
-                onMalformedBody();
+                giveUp("malformed");
             }
         }
 
@@ -497,11 +500,8 @@
                     server.recordErrorResponse(forwarder.clock.nowMs());
                     onResponseLost(server, "failed");
                 }
-                case UNSOUND -> {
-                    server.recordFailure(forwarder.clock.nowMs());
-                    onResponseLost(server, "unsound");
-                }
                 case PASS -> onPassed();
+                case UNSOUND -> throw new IllegalStateException("given up at its head");
             }
         }
 
@@ -528,12 +528,13 @@
             }
         }
 
-        private void onMalformedBody() {
+        /** Closes the connection and handles the response as lost. */
+        private void giveUp(String outcome) {
             if (pendingRequest != null) {
                 pendingRequest.cancel();
             }
             server.recordFailure(forwarder.clock.nowMs());
-            onResponseLost(server, "malformed");
+            onResponseLost(server, outcome);
         }
 
         private void onPassed() {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/RepeatedRefusalTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/RepeatedRefusalTest.java
@@ -61,6 +61,23 @@
         assertEquals(server.connections.get(), 5);
     }
 
+    /** Guards against a request that is sent on a connection on which the answer to the one before may still come. */
+    @Test
+    public void connectionThatBroughtAResponseWithoutAnIdIsNotUsedAgain() throws Exception {
+        ScriptedServer server = startServer((request, out, socket) -> {
+            if (request.header("id").equals("first")) {
+                out.write("HTTP/1.1 200 OK\r\nsigned: x\r\ncontent-length: 0\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                out.flush();
+                Thread.sleep(50);
+            }
+            respond(out, "200 OK", request, SIGNED, "ok");
+        });
+        assertTrue(sendRequest(getRequest("/unsafe/", "first")).startsWith("HTTP/1.1 502"));
+        assertTrue(sendRequest(getRequest("/unsafe/", "second")).endsWith("ok"));
+        assertEquals(server.connections.get(), 2);
+    }
+
     @DataProvider
     public Object[][] promises() {
         return new Object[][] {
