Take no body that a second response has filled up for a whole one

Callers would get a success whose body is not the server's. Now a connection looks for a head that names a request in the body and in what has arrived behind it; then the response is broken. A body that only quotes a response, and one that is whole with more behind it, count as before. Streams need no such check: their events are read strictly.

--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -117,7 +117,7 @@
             var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
         this.adapter = factory.create(loop, clock);
-        this.originPools = new OriginPools(loop, clock);
+        this.originPools = new OriginPools(loop, clock, adapter.dialect().requestIdField());
         this.servers = new ServerList(originPools::remove, this::logReturn);
         this.quarantine = new Quarantine(settings.host());
         this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Dialect.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Dialect.java
@@ -40,6 +40,13 @@
      */
     boolean matchesRequest(HttpResponse head, String requestId);
 
+    /**
+     * Returns the header field by which a response names its request.
+     *
+     * @return the field's name
+     */
+    String requestIdField();
+
     /**
      * Decodes the status line and header section of a response.
      *
--- a/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
@@ -21,6 +21,7 @@
 
     private final EventLoop eventLoop;
     private final Clock clock;
+    private final String requestIdField;
     private final Map<TrackedServer, OriginPool> poolsByServer = new HashMap<>();
     private long unassignedDataOfRemoved;
 
@@ -29,10 +30,12 @@
      *
      * @param eventLoop the event loop of all connections
      * @param clock the time source for idle times
+     * @param requestIdField the header field by which a response names its request
      */
-    public OriginPools(EventLoop eventLoop, Clock clock) {
+    public OriginPools(EventLoop eventLoop, Clock clock, String requestIdField) {
         this.eventLoop = eventLoop;
         this.clock = clock;
+        this.requestIdField = requestIdField;
     }
 
     /**
@@ -44,7 +47,7 @@
     public OriginPool poolFor(TrackedServer server) {
         return poolsByServer.computeIfAbsent(server, t -> {
             BackendServer s = t.entry();
-            return new OriginPool(eventLoop, clock, s.ip(), s.port(), LIMITS);
+            return new OriginPool(eventLoop, clock, s.ip(), s.port(), LIMITS, requestIdField);
         });
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -48,6 +48,7 @@
     /** Body parts of the present read, which are passed on together: they may be as short as one byte. */
     private final ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
 
+    private @Nullable SplicedBodyDetector splicedBody;
     private boolean skippingResponse;
     private boolean keepAlive;
     private boolean responseComplete;
@@ -279,6 +280,7 @@
             keepAlive = HttpUtil.isKeepAlive(head);
             readKeepAliveTimeout(head);
             if (!skippingResponse) {
+                splicedBody = isEventStream(head) ? null : pool.newSplicedBodyDetector();
                 current.handler.onHead(head);
             } else if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
                 fail();
@@ -290,6 +292,11 @@
         }
     }
 
+    /** The events of a stream are checked one by one by their reader. */
+    private static boolean isEventStream(HttpResponse head) {
+        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
+    }
+
     private void handleContent(Exchange current, HttpContent content) {
         if (!accepts(PART_OVERHEAD_BYTES)) {
             return;
@@ -308,12 +315,26 @@
         if (current.finished) {
             return;
         }
+        if (isSpliced()) {
+            reportUnassigned("response in the body of a response");
+            fail();
+            close();
+            return;
+        }
         current.finished = true;
         pending = null;
         responseComplete = true;
         current.handler.onComplete();
     }
 
+    private boolean isSpliced() {
+        if (splicedBody == null) {
+            return false;
+        }
+        splicedBody.addBeyond(decoder.undecodedBytes());
+        return splicedBody.found();
+    }
+
     private void collectBody(ByteBuf part) {
         if (collectedBody.size() + part.readableBytes() > MAX_COLLECTED_BYTES) {
             passOnBody();
@@ -328,6 +349,9 @@
         }
         byte[] bytes = collectedBody.toByteArray();
         collectedBody.reset();
+        if (splicedBody != null) {
+            splicedBody.add(bytes);
+        }
         if (pending != null && !pending.finished) {
             pending.handler.onBody(bytes);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -26,6 +26,7 @@
     private final String address;
     private final Clock clock;
     private final Limits limits;
+    private final String requestIdField;
     private final Deque<OriginChannel> idle = new ArrayDeque<>();
     private boolean closed;
     private long connectionsOpened;
@@ -55,7 +56,7 @@
     }
 
     /**
-     * Creates a pool without connections.
+     * Creates a pool without connections, whose origin's responses name no request.
      *
      * @param loop the event loop on which the connections run
      * @param clock the clock by which idle times are measured
@@ -64,8 +65,23 @@
      * @param limits the limits on connect time and idle connections
      */
     public OriginPool(EventLoop loop, Clock clock, String ip, int port, Limits limits) {
+        this(loop, clock, ip, port, limits, "");
+    }
+
+    /**
+     * Creates a pool without connections.
+     *
+     * @param loop the event loop on which the connections run
+     * @param clock the clock by which idle times are measured
+     * @param ip the origin's IP address
+     * @param port the origin's port
+     * @param limits the limits on connect time and idle connections
+     * @param requestIdField the header field by which a response names its request; empty if there is none
+     */
+    public OriginPool(EventLoop loop, Clock clock, String ip, int port, Limits limits, String requestIdField) {
         this.clock = clock;
         this.limits = limits;
+        this.requestIdField = requestIdField;
         this.address = ip + ":" + port;
         this.bootstrap = new Bootstrap()
                 .group(loop)
@@ -207,6 +223,11 @@
         return limits.maxResponseBytes();
     }
 
+    @Nullable
+    SplicedBodyDetector newSplicedBodyDetector() {
+        return requestIdField.isEmpty() ? null : new SplicedBodyDetector(requestIdField);
+    }
+
     void release(OriginChannel channel) {
         if (closed || idle.size() >= limits.maxIdleConnections()) {
             channel.close();
--- a/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -25,6 +26,11 @@
         return inHead || actualReadableBytes() > 0;
     }
 
+    /** Returns a copy of the bytes that have arrived and were not decoded yet. */
+    byte[] undecodedBytes() {
+        return actualReadableBytes() == 0 ? new byte[0] : ByteBufUtil.getBytes(internalBuffer());
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         inHead = true;
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -82,7 +82,7 @@
         Scheduler scheduler = (delayMs, task) -> {
             var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
-        OriginPools originPools = new OriginPools(loop, clock);
+        OriginPools originPools = new OriginPools(loop, clock, "id");
         servers = new ServerList(originPools::remove);
         RouteTable routes = routeTable();
         ServerSelector serverSelector = new ServerSelector("z", server -> {});
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -42,6 +42,11 @@
         return requestId.equals(head.headers().get("id", requestId));
     }
 
+    @Override
+    public String requestIdField() {
+        return "id";
+    }
+
     @Override
     public ResponseMetadata parseResponse(HttpResponse head) {
         return new ResponseMetadata(
--- a/gateway/src/test/java/org/celerygw/gateway/forward/UnboundedBytesTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/UnboundedBytesTest.java
@@ -116,7 +116,7 @@
         })) {
             ServerList servers = new ServerList(removed -> {});
             servers.put(new BackendServer("i1", "s", "127.0.0.1", server.port(), "z", "v1", 8, false, 1));
-            OriginPools pools = new OriginPools(loop, clock);
+            OriginPools pools = new OriginPools(loop, clock, "id");
             ServerLinks links = new ServerLinks(clock, scheduler, new TestDialect(), servers, pools, PeerRoute.NONE);
             HttpListener listener = HttpListener.start(
                             loop, clock, "127.0.0.1", 0, new ServerRelay(links, servers, scheduler))
