Follow the list of servers whatever one of its rows holds

Operators saw: after one row of the table servers whose field models was nested 20,000 deep, hosts never used a server that joined later, also after the row was gone; no line was logged and the hosts went on reporting ready. A configuration of that kind ended the feed of configurations in the same way.

Cause: with the stack of deploy/system.toml, reading JSON overflows it at 700 levels, before Jackson refuses at 1,000. The StackOverflowError passed the catch of RuntimeException and ended the callback before Watch had scheduled its next poll; the connection's handler closed the connection without a line.

RowDecoder decodes each row on its own, logs one line for each version and takes the row as absent whatever is thrown. Loops schedule their next step before they look at what was read, and StepFailures logs and counts what timers, responses of the store, replies and datagrams of other hosts throw.

Datagrams and replies with groups nested 8,000 deep did no harm before either: protobuf bounds them; a test holds it.

--- a/gateway/src/main/java/org/celerygw/gateway/Adapter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Adapter.java
@@ -37,7 +37,7 @@
      * Parses a row of the configuration feed.
      *
      * @param row a row that exists
-     * @return the configuration; empty when the row holds something else or is malformed
+     * @return the configuration; empty when the row holds something else; throws when it is malformed
      */
     Optional<RouteTable> parseConfiguration(Row row);
 
@@ -52,7 +52,7 @@
      * Parses a row of the backend server feed.
      *
      * @param row a row that exists
-     * @return the backend server; empty when the row does not describe a usable server
+     * @return the backend server; throws when the row does not describe a usable one
      */
     Optional<BackendServer> parseServer(Row row);
 
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -37,12 +37,14 @@
 import org.celerygw.gateway.forward.RequestLog;
 import org.celerygw.gateway.forward.ServerLinks;
 import org.celerygw.gateway.forward.ServerRelay;
+import org.celerygw.gateway.log.StepFailures;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.net.HttpListener;
 import org.celerygw.gateway.net.OriginPool;
 import org.celerygw.gateway.peers.Peers;
 import org.celerygw.gateway.peers.StoreHealth;
+import org.celerygw.gateway.watch.RowDecoder;
 import org.celerygw.gateway.watch.RowFeed;
 import org.celerygw.gateway.watch.Watch;
 import org.jspecify.annotations.Nullable;
@@ -114,7 +116,7 @@
         this.loop = loop;
         this.settings = settings;
         this.scheduler = (delayMs, task) -> {
-            var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+            var unused = loop.schedule(() -> StepFailures.run("timer", task), delayMs, TimeUnit.MILLISECONDS);
         };
         this.adapter = factory.create(loop, clock);
         this.originPools = new OriginPools(loop, clock);
@@ -335,17 +337,18 @@
     }
 
     private void sweep() {
+        // First, so that the next sweep does not depend on how this one ends.
+        scheduler.schedule(SWEEP_INTERVAL_MS, this::sweep);
         RouteTable current = routes;
         long idleMs = current == null ? 60_000 : current.limits().idleTimeoutMs();
         clientListeners().forEach(l -> l.sweep(idleMs, MAX_REQUEST_READ_MS));
         originPools.closeExpired();
         servers.removeExpired(clock.nowMs());
-        scheduler.schedule(SWEEP_INTERVAL_MS, this::sweep);
     }
 
     private void cleanUp() {
-        cleaner.cleanNextPartition();
         scheduler.schedule(CLEANUP_INTERVAL_MS, this::cleanUp);
+        cleaner.cleanNextPartition();
     }
 
     private void onStoreUnavailable(String feed) {
@@ -459,6 +462,11 @@
 
     /** Applies configurations whose version is newer than the current one. */
     private final class ConfigListener implements Watch.Listener {
+        private final RowDecoder<RouteTable> configurationRows = new RowDecoder<>(
+                CONFIGURATION_FEED,
+                "config: cannot decode the configuration, the previous one stays active",
+                adapter::parseConfiguration);
+
         @Override
         public void onSnapshot(List<Row> rows) {
             onChanges(rows);
@@ -468,7 +476,7 @@
         public void onChanges(List<Row> rows) {
             rows.stream()
                     .filter(Row::exists)
-                    .flatMap(r -> adapter.parseConfiguration(r).stream())
+                    .flatMap(r -> configurationRows.decode(r).stream())
                     .filter(t -> t.version() > configVersion())
                     .forEach(this::apply);
         }
@@ -497,18 +505,21 @@
 
     /** Applies changes of the registered backend servers. */
     private final class ServerListener implements Watch.Listener {
+        private final RowDecoder<BackendServer> serverRows = new RowDecoder<>(
+                SERVER_FEED, "servers: cannot decode an entry, it counts as no server", adapter::parseServer);
+
         @Override
         public void onSnapshot(List<Row> rows) {
             serversKnown = true;
             servers.replaceAll(
-                    rows.stream().flatMap(r -> adapter.parseServer(r).stream()).toList(), clock.nowMs());
+                    rows.stream().flatMap(r -> serverRows.decode(r).stream()).toList(), clock.nowMs());
             logReadinessChange();
         }
 
         @Override
         public void onChanges(List<Row> rows) {
             rows.forEach(r -> {
-                Optional<BackendServer> server = r.exists() ? adapter.parseServer(r) : Optional.empty();
+                Optional<BackendServer> server = serverRows.decode(r);
                 LOG.atInfo()
                         .addKeyValue("server", r.key())
                         .addKeyValue("entry", server.map(Object::toString).orElse("no usable server"))
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -19,6 +19,7 @@
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.gateway.forward.OriginPools;
 import org.celerygw.gateway.forward.ServerLinks;
+import org.celerygw.gateway.log.StepFailures;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.peers.Peers;
@@ -53,6 +54,7 @@
 
     /** Registers the metrics of the peers and programs; called once both have been created. */
     void registerPeersAndPrograms(Peers peers, ProgramStore programStore) {
+        registerCounter("celerygw_failed_steps_total", "Steps of work that ended with an error", StepFailures::count);
         registerCounter("celerygw_relayed_calls_total", "Store calls of this host made by a peer", peers::relayedCalls);
         registerCounter(
                 "celerygw_peer_datagrams_unread_total",
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -37,6 +37,7 @@
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.log.StepFailures;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -291,7 +292,8 @@
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-            receive(packet.sender(), ByteBufUtil.getBytes(packet.content()));
+            StepFailures.run(
+                    "datagram of a host", () -> receive(packet.sender(), ByteBufUtil.getBytes(packet.content())));
         }
 
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Relay.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Relay.java
@@ -16,6 +16,7 @@
 import org.celerygw.core.gen.store.WriteReply;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.log.StepFailures;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
 import org.celerygw.gateway.net.OriginPool;
@@ -154,7 +155,7 @@
         private void finish(Optional<RelayedReply> reply) {
             if (!finished) {
                 finished = true;
-                callback.accept(reply);
+                StepFailures.run("reply of a host to a relayed call", () -> callback.accept(reply));
             }
         }
     }
--- a/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
+++ b/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
@@ -123,8 +123,9 @@
                 if (result.status() == RowFeed.Status.OK) {
                     consecutiveFailures = 0;
                     hasSnapshot = true;
-                    applySnapshot(result);
+                    // First, so that the next poll does not depend on what the listener does.
                     scheduleNextPoll();
+                    applySnapshot(result);
                 } else {
                     retryAfterFailure();
                 }
@@ -147,8 +148,8 @@
         switch (result.status()) {
             case OK -> {
                 consecutiveFailures = 0;
-                applyChanges(result);
                 scheduleNextPoll();
+                applyChanges(result);
             }
             case HISTORY_EXPIRED -> {
                 hasSnapshot = false;
@@ -179,9 +180,9 @@
     private void retryAfterFailure() {
         hasSnapshot = false;
         consecutiveFailures++;
-        readFromPeer();
         long backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS << Math.min(consecutiveFailures - 1, 3));
         scheduler.schedule(backoffMs, this::poll);
+        readFromPeer();
     }
 
     private void scheduleNextPoll() {
--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -131,6 +131,31 @@
         assertEquals(limit.get(5, TimeUnit.SECONDS), 2.5);
     }
 
+    /** Guards against the failure that a datagram overflows the stack of the event loop, or ends what reads the next one. */
+    @Test
+    public void datagramsThatNestOrExceedTheirRangeAreDropped() throws Exception {
+        int levels = 8_000;
+        byte[] groups = new byte[2 * levels];
+        // The start and the end tag of a group of an unknown field.
+        Arrays.fill(groups, 0, levels, (byte) 0x7B);
+        Arrays.fill(groups, levels, groups.length, (byte) 0x7C);
+        send(groups);
+        byte[] numbers = Digest.newBuilder()
+                .setHost("peer")
+                .setConfigVersion(Long.MIN_VALUE)
+                .setStoreMs(Integer.MIN_VALUE)
+                .setSequence(Integer.MIN_VALUE)
+                .addLoads(ServerLoad.newBuilder()
+                        .setServer("i-7")
+                        .setInFlight(Integer.MIN_VALUE)
+                        .setLimitPerS(Double.NaN))
+                .build()
+                .toByteArray();
+        send(numbers);
+        awaitRead(new DigestSplitter(), new Random(1), 1_000_000_000_000L);
+        assertEquals(digests.unreadDatagrams(), 1);
+    }
+
     /** Sends a digest until the host has read it, since a datagram may be lost. */
     private void awaitRead(DigestSplitter splitter, Random random, long version) throws Exception {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
