Find other hosts beside odd rows in the table of their addresses

Operators would have seen: a host that starts while the table hosts has a row with a port beyond 65,535 finds no other host, and looks for none again; with them it loses relays and the sharing of limits.

Cause: the address was read with Integer.parseInt and InetSocketAddress without a check, before the next read of the table was scheduled; a name in place of an IP address was looked up by blocking the event loop.

Now: each row is decoded by RowDecoder, only IP addresses with a port from 1 to 65535 count, and the next read is scheduled first.

--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -2,8 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.netty.util.NetUtil;
 import io.vertx.core.Future;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +17,8 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.PermitRequest;
@@ -34,7 +39,9 @@
 import org.celerygw.gateway.net.HttpListener;
 import org.celerygw.gateway.net.OriginPool;
 import org.celerygw.gateway.net.RequestHandler;
+import org.celerygw.gateway.watch.RowDecoder;
 import org.celerygw.gateway.watch.RowFeed;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The other hosts of the gateway. Each host registers its address in a table at startup and then sends digests to its
@@ -59,6 +66,8 @@
     private final Table hostTable;
     private final StoreHealth health;
     private final Relay relay;
+    private final RowDecoder<InetSocketAddress> hostRows = new RowDecoder<>(
+            "hosts", "peers: cannot decode the row of a host, it counts as no host", Peers::decodeAddress);
     private final PeerTable peers;
     private final DigestExchange digests;
     private final LocalState localState;
@@ -407,40 +416,59 @@
         hostTable.write(
                 txn,
                 result -> hostTable.scan(ROW_PREFIX, "", MAX_HOSTS, answer -> {
-                    answer.rows().forEach(this::addPeer);
                     knowsHosts |= answer.ok();
                     boolean complete = result.currentRows().isEmpty() && answer.ok() && result.version() > 0;
                     scheduler.schedule(
                             complete ? HOST_TABLE_REFRESH_MS : REGISTRATION_RETRY_MS,
                             complete ? this::refreshHosts : this::register);
+                    answer.rows().forEach(this::addPeer);
                 }));
     }
 
     private void refreshHosts() {
         hostTable.scan(ROW_PREFIX, "", MAX_HOSTS, answer -> {
-            answer.rows().forEach(this::addPeer);
             scheduler.schedule(HOST_TABLE_REFRESH_MS, this::refreshHosts);
+            answer.rows().forEach(this::addPeer);
         });
     }
 
     private void addPeer(Row row) {
-        String[] parts = row.value().toStringUtf8().split(":", 2);
-        if (parts.length == 2 && !parts[1].isEmpty() && parts[1].chars().allMatch(Character::isDigit)) {
-            InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+        hostRows.decode(row).ifPresent(address -> {
             peers.add(address);
             Peer peer = peers.get(address);
             if (peer != null && peer.name.isEmpty()) {
                 peer.name = row.key().substring(ROW_PREFIX.length());
             }
+        });
+    }
+
+    /** Decodes a row's address; throws when it is no IP address with a port. */
+    private static Optional<InetSocketAddress> decodeAddress(Row row) {
+        String text = row.value().toStringUtf8();
+        int colon = text.lastIndexOf(':');
+        // A name would be looked up by blocking the event loop.
+        byte @Nullable [] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        if (ip == null) {
+            throw new GatewayException(ErrorCode.DAMAGED, "expected an IP address, a colon and a port");
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port <= 0) {
+            throw new GatewayException(ErrorCode.DAMAGED, "expected a port from 1 to 65535 but found " + port);
+        }
+        try {
+            return Optional.of(new InetSocketAddress(InetAddress.getByAddress(ip), port));
+        } catch (UnknownHostException e) {
+            throw new GatewayException(ErrorCode.DAMAGED, "expected an address of 4 or 16 bytes");
         }
     }
 
     private void runRound() {
+        // First, so that the next round does not depend on how this one ends.
+        scheduler.schedule(DigestExchange.ROUND_INTERVAL_MS, this::runRound);
         peers.removeExpired();
         digests.runRound();
         if (peers.live().anyMatch(p -> p.digest.getConfigVersion() > localState.configVersion())) {
             localState.onNewerConfiguration();
         }
-        scheduler.schedule(DigestExchange.ROUND_INTERVAL_MS, this::runRound);
     }
 }
