Do not replace a program's row that cannot be decoded

Callers would have seen: a program whose row was damaged got its whole budget again, or its turns could not be continued at a host until that host's restart.

Cause: the version of the row was kept before its budget was decoded, so that the next write replaced the row. An error while a program was loaded left its callbacks in place, and a load begins only without any.

Before: ProgramStoreTest.damagedProgramRowIsNotReplaced, "expected [UNAVAILABLE] but found [COMMITTED]"; chainIsReadAfterADamagedRowIsGone, no result.

Now: the budget is decoded first and the error names row and version; callers of a load and of a stream's version get an answer in any case.

--- a/core/src/main/java/org/celerygw/core/turns/Budget.java
+++ b/core/src/main/java/org/celerygw/core/turns/Budget.java
@@ -11,6 +11,7 @@
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.turns.OpenTurn;
 import org.celerygw.core.gen.turns.ProgramRow;
+import org.celerygw.core.store.Row;
 
 /**
  * The token budget of one program as its row holds it: the tokens spent by settled turns and those reserved by open
@@ -27,9 +28,13 @@
 
     private record OpenReservation(long tokens, String softwareVersion) {}
 
-    static Budget parse(ByteString value) {
+    /** Decodes a program's row; an empty budget if it does not exist, throws if it cannot be decoded. */
+    static Budget parse(Row stored) {
+        if (!stored.exists()) {
+            return new Budget();
+        }
         try {
-            ProgramRow row = ProgramRow.parseFrom(value);
+            ProgramRow row = ProgramRow.parseFrom(stored.value());
             Budget budget = new Budget();
             budget.spentTokens = row.getSpentTokens();
             budget.keepUntilMs = row.getKeepUntilMs();
@@ -39,7 +44,10 @@
             budget.streams = StreamVersions.parse(row);
             return budget;
         } catch (InvalidProtocolBufferException e) {
-            throw new GatewayException(ErrorCode.DAMAGED, "program row cannot be decoded as a ProgramRow message");
+            throw new GatewayException(
+                    ErrorCode.DAMAGED,
+                    "row " + stored.key() + " of version " + stored.version()
+                            + " cannot be decoded as a ProgramRow message");
         }
     }
 
--- a/core/src/main/java/org/celerygw/core/turns/CachedProgram.java
+++ b/core/src/main/java/org/celerygw/core/turns/CachedProgram.java
@@ -56,8 +56,9 @@
     }
 
     void applyRow(Row row, long nowMs) {
+        // First: a version that is kept without its budget would let the next write replace a row that was not read.
+        budget = Budget.parse(row);
         version = row.version();
-        budget = row.exists() ? Budget.parse(row.value()) : new Budget();
         advanceReservations.reconcile(budget, nowMs);
     }
 
--- a/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
+++ b/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
@@ -63,8 +63,7 @@
         Txn.Condition unchanged = new Txn.Condition(key, programRow.version());
         List<Txn.Change> changes = new ArrayList<>();
         changes.add(Txn.Change.remove(expiryKey));
-        long keepUntilMs =
-                programRow.exists() ? Budget.parse(programRow.value()).keepUntilMs() : 0;
+        long keepUntilMs = Budget.parse(programRow).keepUntilMs();
         if (keepUntilMs + EXPIRY_GRACE_MS >= clock.nowMs()) {
             changes.add(Txn.Change.put(ProgramRowKeys.expiryRow(keepUntilMs, program), ByteString.EMPTY));
             table.write(new Txn(List.of(unchanged), changes), result -> {});
--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -242,11 +242,16 @@
             breaker(cached).recordResult(result.ok());
             long pauseMs = retryDelayMs(cached);
             if (result.ok()) {
-                Row row = result.rows().get(0);
-                Budget budget = row.exists() ? Budget.parse(row.value()) : new Budget();
-                callback.accept(budget.streamVersion(ProgramRowKeys.safeId(turn))
-                        .map(StreamOrigin::known)
-                        .orElse(StreamOrigin.UNKNOWN));
+                StreamOrigin origin = StreamOrigin.UNAVAILABLE;
+                try {
+                    origin = Budget.parse(result.rows().get(0))
+                            .streamVersion(ProgramRowKeys.safeId(turn))
+                            .map(StreamOrigin::known)
+                            .orElse(StreamOrigin.UNKNOWN);
+                } finally {
+                    // Also if the row cannot be decoded: the caller waits for it.
+                    callback.accept(origin);
+                }
             } else if (clock.nowMs() + pauseMs < deadlineMs) {
                 scheduler.schedule(pauseMs, () -> readStreamVersion(program, turn, deadlineMs, callback));
             } else {
@@ -348,12 +353,19 @@
                 return;
             }
             breaker(program).recordResult(result.ok());
-            if (result.ok()) {
-                cacheRows(program, rows);
+            boolean cached = false;
+            try {
+                if (result.ok()) {
+                    cacheRows(program, rows);
+                    cached = true;
+                }
+            } finally {
+                // Also if a row cannot be decoded: the next load begins only when no callback is left.
+                List<Consumer<Boolean>> callbacks = List.copyOf(program.loadCallbacks);
+                program.loadCallbacks.clear();
+                boolean ok = cached;
+                callbacks.forEach(c -> c.accept(ok));
             }
-            List<Consumer<Boolean>> callbacks = List.copyOf(program.loadCallbacks);
-            program.loadCallbacks.clear();
-            callbacks.forEach(c -> c.accept(result.ok()));
         });
     }
 
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -12,6 +13,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
@@ -19,6 +23,7 @@
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.core.turns.Reservation;
 import org.celerygw.core.turns.StoredTurn;
+import org.celerygw.core.turns.StreamOrigin;
 import org.celerygw.core.turns.TurnChain;
 import org.celerygw.core.turns.UpdateResult;
 import org.celerygw.standin.Fault;
@@ -255,6 +260,68 @@
         assertEquals(countRows("p/") + countRows("i/") + countRows("x/"), 0);
     }
 
+    /** Guards against the failure that hosts replace a row which they cannot read, and with it what was spent. */
+    @Test
+    public void damagedProgramRowIsNotReplaced() {
+        assertEquals(reserve(firstHost, "p", "a", 60, 100), UpdateResult.COMMITTED);
+        ByteString damaged = ByteString.copyFrom(new byte[] {(byte) 0xFF, 1, 2});
+        put("p/p/p", damaged);
+        for (ProgramStore host : List.of(firstHost, newProgramStore(new Faults()))) {
+            for (int i = 0; i < 3; i++) {
+                AtomicReference<UpdateResult> result = new AtomicReference<>();
+                host.reserve(new Reservation("p", "b" + i, 90, 100, 60_000, ""), clock.nowMs() + 900, result::set);
+                advancePastFailures();
+                assertEquals(result.get(), UpdateResult.UNAVAILABLE);
+            }
+        }
+        List<Row> rows = new ArrayList<>();
+        partitions.forEach(t -> t.read(List.of("p/p/p"), answer -> rows.addAll(answer.rows())));
+        clock.advance(100);
+        assertTrue(rows.stream().anyMatch(r -> r.value().equals(damaged)));
+        assertEquals(reserve(firstHost, "q", "c", 60, 100), UpdateResult.COMMITTED);
+    }
+
+    /** Guards against the failure that a program cannot be loaded any more after one load that met a damaged row. */
+    @Test
+    public void chainIsReadAfterADamagedRowIsGone() {
+        storeTurn(firstHost, "p", "a", TurnChain.EMPTY, "in1 ", "out1\n");
+        List<Row> sound = new ArrayList<>();
+        partitions.forEach(t -> t.read(
+                List.of("p/p/p"),
+                answer -> answer.rows().stream().filter(Row::exists).forEach(sound::add)));
+        clock.advance(100);
+        put("p/p/p", ByteString.copyFrom(new byte[] {(byte) 0xFF, 1, 2}));
+        ProgramStore host = newProgramStore(new Faults());
+        AtomicReference<TurnChain> found = new AtomicReference<>();
+        host.readChain("p", "a", clock.nowMs(), found::set);
+        advancePastFailures();
+        assertEquals(found.get().status(), TurnChain.Status.UNAVAILABLE);
+        AtomicReference<StreamOrigin> origin = new AtomicReference<>();
+        host.readStreamVersion("p", "a", clock.nowMs(), origin::set);
+        advancePastFailures();
+        assertEquals(origin.get().status(), StreamOrigin.Status.UNAVAILABLE);
+        put("p/p/p", sound.get(0).value());
+        assertEquals(history(readChain(host, "p", "a")), "in1 out1\n");
+    }
+
+    private void put(String key, ByteString value) {
+        Txn txn = new Txn(List.of(), List.of(Txn.Change.put(key, value)));
+        partitions.forEach(t -> t.write(txn, result -> {}));
+        clock.advance(100);
+    }
+
+    /** Advances the time although tasks may end with the error of a damaged row, which a host logs. */
+    private void advancePastFailures() {
+        long untilMs = clock.nowMs() + 1_000;
+        while (clock.nowMs() < untilMs) {
+            try {
+                clock.advance(untilMs - clock.nowMs());
+            } catch (GatewayException e) {
+                assertEquals(e.code(), ErrorCode.DAMAGED);
+            }
+        }
+    }
+
     private void removeExpiredPrograms() {
         ExpiredProgramCleaner cleaner = new ExpiredProgramCleaner(List.copyOf(partitions), clock, 0);
         IntStream.range(0, PARTITIONS).forEach(i -> cleaner.cleanNextPartition());
