Read chains of turns in a loop

Callers would have seen: a turn at the end of a chain of thousands of turns, or of turns that name each other as parents, gets no answer of the host.

Cause: ChainReader called itself for each cached turn, and did not notice a chain without a beginning.

Before: ProgramStoreTest.chainsOfAnyLengthAreReadOnAHostsStack ended with a StackOverflowError on (5,000 turns, a stack of 320 kB).

Now: it iterates, and a turn that comes a second time makes the chain unavailable.

--- a/core/src/main/java/org/celerygw/core/turns/ChainReader.java
+++ b/core/src/main/java/org/celerygw/core/turns/ChainReader.java
@@ -20,6 +20,7 @@
     private final Consumer<TurnChain> callback;
     private final Deque<StoredTurn> turns = new ArrayDeque<>();
     private final Set<String> loadedPrograms = new HashSet<>();
+    private final Set<String> visited = new HashSet<>();
     private String newestProgram = "";
     private String newestTurn = "";
 
@@ -33,11 +34,34 @@
         readTurn(program, turnId);
     }
 
-    private void readTurn(CachedProgram program, String turnId) {
+    /** Iterates over the turns that are cached: a recursion over a long chain would overflow the stack. */
+    private void readTurn(CachedProgram firstProgram, String firstTurnId) {
+        CachedProgram program = firstProgram;
+        String turnId = firstTurnId;
         StoredTurn turn = program.turns.get(turnId);
-        if (turn != null) {
-            followParent(program, turn);
-        } else if (loadedPrograms.add(program.safeId)) {
+        while (turn != null) {
+            if (!visited.add(program.safeId + "/" + turnId)) {
+                // The rows name each other as parents, which no host writes.
+                callback.accept(TurnChain.UNAVAILABLE);
+                return;
+            }
+            if (turns.isEmpty()) {
+                newestProgram = program.safeId;
+            }
+            turns.addFirst(turn);
+            if (turn.isFirst()) {
+                callback.accept(buildChain());
+                return;
+            }
+            program = programStore.cachedProgram(turn.parentProgram());
+            turnId = turn.parentTurn();
+            turn = program.turns.get(turnId);
+        }
+        readMissing(program, turnId);
+    }
+
+    private void readMissing(CachedProgram program, String turnId) {
+        if (loadedPrograms.add(program.safeId)) {
             programStore.load(program, ok -> {
                 if (ok) {
                     readTurn(program, turnId);
@@ -53,18 +77,6 @@
         }
     }
 
-    private void followParent(CachedProgram program, StoredTurn turn) {
-        if (turns.isEmpty()) {
-            newestProgram = program.safeId;
-        }
-        turns.addFirst(turn);
-        if (turn.isFirst()) {
-            callback.accept(buildChain());
-        } else {
-            readTurn(programStore.cachedProgram(turn.parentProgram()), turn.parentTurn());
-        }
-    }
-
     private TurnChain buildChain() {
         ByteArrayOutputStream history = new ByteArrayOutputStream();
         turns.forEach(t -> {
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.gen.turns.TurnRow;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
@@ -35,6 +36,7 @@
 /** Tests budgets, stored turns and their expiry, with the program stores of several hosts on the same partitions. */
 public final class ProgramStoreTest {
     private static final int PARTITIONS = 4;
+    private static final long HOST_STACK_BYTES = 320 << 10;
 
     private SimulatedClock clock;
     private List<MemoryTable> partitions;
@@ -304,12 +306,52 @@
         assertEquals(history(readChain(host, "p", "a")), "in1 out1\n");
     }
 
+    /** Guards against the failure that a chain overflows the stack: one of many turns, or one that never ends. */
+    @Test
+    public void chainsOfAnyLengthAreReadOnAHostsStack() throws Exception {
+        int turns = 5_000;
+        List<Txn.Change> changes = new ArrayList<>();
+        for (int i = 0; i < turns; i++) {
+            changes.add(turnRow("p", "t" + i, i == 0 ? "" : "t" + (i - 1)));
+        }
+        changes.add(turnRow("p", "loop1", "loop2"));
+        changes.add(turnRow("p", "loop2", "loop1"));
+        partitions.forEach(t -> t.write(new Txn(List.of(), changes), result -> {}));
+        clock.advance(100);
+        AtomicReference<TurnChain> longest = new AtomicReference<>();
+        AtomicReference<TurnChain> loop = new AtomicReference<>();
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    longest.set(readChain(firstHost, "p", "t" + (turns - 1)));
+                    loop.set(readChain(firstHost, "p", "loop1"));
+                },
+                "host",
+                HOST_STACK_BYTES);
+        thread.setUncaughtExceptionHandler((t, e) -> failure.set(e));
+        thread.start();
+        thread.join();
+        assertNull(failure.get());
+        assertEquals(history(longest.get()).length(), turns);
+        assertEquals(loop.get().status(), TurnChain.Status.UNAVAILABLE);
+    }
+
     private void put(String key, ByteString value) {
         Txn txn = new Txn(List.of(), List.of(Txn.Change.put(key, value)));
         partitions.forEach(t -> t.write(txn, result -> {}));
         clock.advance(100);
     }
 
+    private static Txn.Change turnRow(String program, String turn, String parent) {
+        TurnRow row = TurnRow.newBuilder()
+                .setParentProgram(parent.isEmpty() ? "" : program)
+                .setParentTurn(parent)
+                .setInput(ByteString.copyFromUtf8("i"))
+                .build();
+        return Txn.Change.put("p/" + program + "/t/" + turn + "/000", row.toByteString());
+    }
+
     /** Advances the time although tasks may end with the error of a damaged row, which a host logs. */
     private void advancePastFailures() {
         long untilMs = clock.nowMs() + 1_000;
