Clean up expired programs beside odd keys

Operators would have seen: after one row whose key begins with x/ and is no expiry row, no expired program of its partition is removed any more.

Cause: the time was cut out of each key without a check, and the error ended the whole scan.

Now: keys of another form are passed over.

--- a/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
+++ b/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
@@ -43,6 +43,7 @@
         Table table = partitions.get(Math.floorMod(nextPartition++, partitions.size()));
         table.scan(ProgramRowKeys.EXPIRY_PREFIX, "", MAX_PROGRAMS_PER_SCAN, result -> result.rows().stream()
                 .map(Row::key)
+                .filter(ProgramRowKeys::isExpiryRow)
                 .filter(key -> ProgramRowKeys.expiryMs(key) + EXPIRY_GRACE_MS < clock.nowMs())
                 .forEach(key -> cleanProgram(table, key)));
     }
--- a/core/src/main/java/org/celerygw/core/turns/ProgramRowKeys.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramRowKeys.java
@@ -57,6 +57,15 @@
         return String.format("%s%013d/%s", EXPIRY_PREFIX, timeMs, program);
     }
 
+    /** Returns whether a key has the form of those of expiry rows, which the two methods below read. */
+    static boolean isExpiryRow(String key) {
+        int timeEnd = EXPIRY_PREFIX.length() + TIME_DIGITS;
+        return key.length() > timeEnd
+                && key.startsWith(EXPIRY_PREFIX)
+                && key.charAt(timeEnd) == '/'
+                && key.substring(EXPIRY_PREFIX.length(), timeEnd).chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+
     /** Returns the time in the key of an expiry row, in ms since 1970-01-01 UTC. */
     static long expiryMs(String key) {
         return Long.parseLong(key.substring(EXPIRY_PREFIX.length(), EXPIRY_PREFIX.length() + TIME_DIGITS));
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -337,6 +337,16 @@
         assertEquals(loop.get().status(), TurnChain.Status.UNAVAILABLE);
     }
 
+    /** Guards against the failure that one row under the expiry prefix stops the cleaning of its partition. */
+    @Test
+    public void removesExpiredProgramsBesideOddExpiryRows() {
+        storeTurn(firstHost, "p", "a", TurnChain.EMPTY, "in", "out\n");
+        List.of("x/", "x/0", "x/00000000000x0/p", "x/0000000000000").forEach(key -> put(key, ByteString.EMPTY));
+        clock.advance(200_000);
+        removeExpiredPrograms();
+        assertEquals(countRows("p/") + countRows("i/"), 0);
+    }
+
     private void put(String key, ByteString value) {
         Txn txn = new Txn(List.of(), List.of(Txn.Change.put(key, value)));
         partitions.forEach(t -> t.write(txn, result -> {}));
