--- a/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
+++ b/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
@@ -43,6 +43,7 @@
         Table table = partitions.get(Math.floorMod(nextPartition++, partitions.size()));
         table.scan(ProgramRowKeys.EXPIRY_PREFIX, "", MAX_PROGRAMS_PER_SCAN, result -> result.rows().stream()
                 .map(Row::key)
+                .filter(ProgramRowKeys::isExpiryRow)
                 .filter(key -> ProgramRowKeys.expiryMs(key) + EXPIRY_GRACE_MS < clock.nowMs())
                 .forEach(key -> cleanProgram(table, key)));
     }
@@ -63,8 +64,7 @@
         Txn.Condition unchanged = new Txn.Condition(key, programRow.version());
         List<Txn.Change> changes = new ArrayList<>();
         changes.add(Txn.Change.remove(expiryKey));
-        long keepUntilMs =
-                programRow.exists() ? Budget.parse(programRow.value()).keepUntilMs() : 0;
+        long keepUntilMs = Budget.parse(programRow).keepUntilMs();
         if (keepUntilMs + EXPIRY_GRACE_MS >= clock.nowMs()) {
             changes.add(Txn.Change.put(ProgramRowKeys.expiryRow(keepUntilMs, program), ByteString.EMPTY));
             table.write(new Txn(List.of(unchanged), changes), result -> {});
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -12,6 +13,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.celerygw.core.error.ErrorCode;
+import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.gen.turns.TurnRow;
+import org.celerygw.core.store.Row;
 import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
@@ -19,6 +24,7 @@
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.core.turns.Reservation;
 import org.celerygw.core.turns.StoredTurn;
+import org.celerygw.core.turns.StreamOrigin;
 import org.celerygw.core.turns.TurnChain;
 import org.celerygw.core.turns.UpdateResult;
 import org.celerygw.standin.Fault;
@@ -30,6 +36,7 @@
 /** Tests budgets, stored turns and their expiry, with the program stores of several hosts on the same partitions. */
 public final class ProgramStoreTest {
     private static final int PARTITIONS = 4;
+    private static final long HOST_STACK_BYTES = 320 << 10;
 
     private SimulatedClock clock;
     private List<MemoryTable> partitions;
@@ -255,6 +262,118 @@
         assertEquals(countRows("p/") + countRows("i/") + countRows("x/"), 0);
     }
 
+    /** Guards against the failure that hosts replace a row which they cannot read, and with it what was spent. */
+    @Test
+    public void damagedProgramRowIsNotReplaced() {
+        assertEquals(reserve(firstHost, "p", "a", 60, 100), UpdateResult.COMMITTED);
+        ByteString damaged = ByteString.copyFrom(new byte[] {(byte) 0xFF, 1, 2});
+        put("p/p/p", damaged);
+        for (ProgramStore host : List.of(firstHost, newProgramStore(new Faults()))) {
+            for (int i = 0; i < 3; i++) {
+                AtomicReference<UpdateResult> result = new AtomicReference<>();
+                host.reserve(new Reservation("p", "b" + i, 90, 100, 60_000, ""), clock.nowMs() + 900, result::set);
+                advancePastFailures();
+                assertEquals(result.get(), UpdateResult.UNAVAILABLE);
+            }
+        }
+        List<Row> rows = new ArrayList<>();
+        partitions.forEach(t -> t.read(List.of("p/p/p"), answer -> rows.addAll(answer.rows())));
+        clock.advance(100);
+        assertTrue(rows.stream().anyMatch(r -> r.value().equals(damaged)));
+        assertEquals(reserve(firstHost, "q", "c", 60, 100), UpdateResult.COMMITTED);
+    }
+
+    /** Guards against the failure that a program cannot be loaded any more after one load that met a damaged row. */
+    @Test
+    public void chainIsReadAfterADamagedRowIsGone() {
+        storeTurn(firstHost, "p", "a", TurnChain.EMPTY, "in1 ", "out1\n");
+        List<Row> sound = new ArrayList<>();
+        partitions.forEach(t -> t.read(
+                List.of("p/p/p"),
+                answer -> answer.rows().stream().filter(Row::exists).forEach(sound::add)));
+        clock.advance(100);
+        put("p/p/p", ByteString.copyFrom(new byte[] {(byte) 0xFF, 1, 2}));
+        ProgramStore host = newProgramStore(new Faults());
+        AtomicReference<TurnChain> found = new AtomicReference<>();
+        host.readChain("p", "a", clock.nowMs(), found::set);
+        advancePastFailures();
+        assertEquals(found.get().status(), TurnChain.Status.UNAVAILABLE);
+        AtomicReference<StreamOrigin> origin = new AtomicReference<>();
+        host.readStreamVersion("p", "a", clock.nowMs(), origin::set);
+        advancePastFailures();
+        assertEquals(origin.get().status(), StreamOrigin.Status.UNAVAILABLE);
+        put("p/p/p", sound.get(0).value());
+        assertEquals(history(readChain(host, "p", "a")), "in1 out1\n");
+    }
+
+    /** Guards against the failure that a chain overflows the stack: one of many turns, or one that never ends. */
+    @Test
+    public void chainsOfAnyLengthAreReadOnAHostsStack() throws Exception {
+        int turns = 5_000;
+        List<Txn.Change> changes = new ArrayList<>();
+        for (int i = 0; i < turns; i++) {
+            changes.add(turnRow("p", "t" + i, i == 0 ? "" : "t" + (i - 1)));
+        }
+        changes.add(turnRow("p", "loop1", "loop2"));
+        changes.add(turnRow("p", "loop2", "loop1"));
+        partitions.forEach(t -> t.write(new Txn(List.of(), changes), result -> {}));
+        clock.advance(100);
+        AtomicReference<TurnChain> longest = new AtomicReference<>();
+        AtomicReference<TurnChain> loop = new AtomicReference<>();
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    longest.set(readChain(firstHost, "p", "t" + (turns - 1)));
+                    loop.set(readChain(firstHost, "p", "loop1"));
+                },
+                "host",
+                HOST_STACK_BYTES);
+        thread.setUncaughtExceptionHandler((t, e) -> failure.set(e));
+        thread.start();
+        thread.join();
+        assertNull(failure.get());
+        assertEquals(history(longest.get()).length(), turns);
+        assertEquals(loop.get().status(), TurnChain.Status.UNAVAILABLE);
+    }
+
+    /** Guards against the failure that one row under the expiry prefix stops the cleaning of its partition. */
+    @Test
+    public void removesExpiredProgramsBesideOddExpiryRows() {
+        storeTurn(firstHost, "p", "a", TurnChain.EMPTY, "in", "out\n");
+        List.of("x/", "x/0", "x/00000000000x0/p", "x/0000000000000").forEach(key -> put(key, ByteString.EMPTY));
+        clock.advance(200_000);
+        removeExpiredPrograms();
+        assertEquals(countRows("p/") + countRows("i/"), 0);
+    }
+
+    private void put(String key, ByteString value) {
+        Txn txn = new Txn(List.of(), List.of(Txn.Change.put(key, value)));
+        partitions.forEach(t -> t.write(txn, result -> {}));
+        clock.advance(100);
+    }
+
+    private static Txn.Change turnRow(String program, String turn, String parent) {
+        TurnRow row = TurnRow.newBuilder()
+                .setParentProgram(parent.isEmpty() ? "" : program)
+                .setParentTurn(parent)
+                .setInput(ByteString.copyFromUtf8("i"))
+                .build();
+        return Txn.Change.put("p/" + program + "/t/" + turn + "/000", row.toByteString());
+    }
+
+    /** Advances the time although tasks may end with the error of a damaged row, which a host logs. */
+    private void advancePastFailures() {
+        long untilMs = clock.nowMs() + 1_000;
+        while (clock.nowMs() < untilMs) {
+            try {
+                clock.advance(untilMs - clock.nowMs());
+            } catch (GatewayException e) {
+                assertEquals(e.code(), ErrorCode.DAMAGED);
+            }
+        }
+    }
+
     private void removeExpiredPrograms() {
         ExpiredProgramCleaner cleaner = new ExpiredProgramCleaner(List.copyOf(partitions), clock, 0);
         IntStream.range(0, PARTITIONS).forEach(i -> cleaner.cleanNextPartition());
