Take no reset that a write notices for the end of a response

A caller could get a 200 with a body that had broken off, framed as whole: when a server answered without a length, before it had read the request, and then reset the connection. Cause: a reset that a read notices is reported as an exception, before Netty's decoder takes the end of the connection for the end of the response; one that a write notices closes the connection without an exception. Class of fault: an end of the connection that is not the server's counts as the end of a response.

The result of the write is now looked at. Its promise fails before the channel becomes inactive, so that the request has failed when the decoder reports the end.

BrokenHeadTest, a response without length reset while a request of 16 MB is being written: "200 ok complete" in 20 of 20 tries before the change, failed in all after it. The other cases of the test held before too: seven answers, cut after each byte by FIN and by reset, on new and kept connections.

--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -265,6 +265,14 @@
         next.sent = true;
         if (ctx != null) {
             writeFuture = ctx.writeAndFlush(message);
+            writeFuture.addListener(written -> {
+                if (!written.isSuccess()) {
+                    // A reset that a write notices closes the connection without an exception. Reports it before the
+                    // decoder can take the end of the connection for the end of the response.
+                    fail();
+                    close();
+                }
+            });
         }
     }
 
