Fail responses whose head is malformed or has ambiguous framing

A caller could get a 200 with a body that is not the server's: framed by a transfer coding that the gateway does not undo (gzip), or by one of two framings where a length stands beside the chunked coding. A header line without a colon counted as a field without a value, so that "signed x" was a signature and "transfer-encoding chunked" made the chunk sizes a part of the body. Status codes that have not three digits were passed on ("HTTP/1.1 20"), "+200" and "0200" as 200.

A status code has now three digits and a class of 1 to 5, each header line a colon, and the only transfer coding is one chunked of HTTP/1.1 without a length beside it; a response that differs fails its request, which may have run.

Seven unusual but valid heads are accepted as before.

--- a/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
@@ -7,13 +7,17 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
- * Decodes responses, rejects heads that {@link ResponseValidator} rejects, and knows whether it holds the beginning of a
+ * Decodes responses, rejects malformed heads and those that {@link ResponseValidator} rejects, and knows whether it holds the beginning of a
  * response, which would become the beginning of the next one.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d{2}");
+
     private boolean inHead;
 
     StrictResponseDecoder(int maxHeadBytes, int maxChunkBytes) {
@@ -28,9 +32,31 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         inHead = true;
+        if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("status code that has not three digits or no class");
+        }
         return super.createMessage(initialLine);
     }
 
+    /** Rejects a line without a colon, of which the superclass would take the first word for a name without a value. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        int end = start + length;
+        while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+            end++;
+        }
+        if (end == line.length || line[end] != ':') {
+            throw new IllegalArgumentException("header line without a colon");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
+    /** Rejects a length beside the chunked coding, which the superclass would drop. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("Content-Length beside Transfer-Encoding");
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         int before = out.size();
@@ -40,8 +66,8 @@
             if (out.get(i) instanceof HttpResponse head
                     && head.decoderResult().isSuccess()
                     && !ResponseValidator.isValid(head)) {
-                head.setDecoderResult(DecoderResult.failure(
-                        new IllegalArgumentException("response head that holds a part of another response")));
+                head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(
+                        "response head with ambiguous framing or a part of another response")));
             }
         }
     }
--- a/gateway/src/test/java/org/celerygw/gateway/net/BrokenHeadTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/net/BrokenHeadTest.java
@@ -30,7 +30,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests which responses count as complete when an origin stops in the middle of one. */
+/** Tests which responses count as complete when an origin stops in the middle of one or sends a malformed head. */
 public final class BrokenHeadTest {
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String WITH_LENGTH = OK + "id: 1\r\nsigned: x\r\ncontent-length: 2\r\n\r\nok";
@@ -161,6 +161,80 @@
         return new Object[][] {{End.FIN}, {End.LATE_FIN}};
     }
 
+    @DataProvider
+    public Object[][] malformedHeads() {
+        String start = OK + "id: 1\r\nsigned: x\r\n";
+        String lengthAndBody = "id: 1\r\nsigned: x\r\ncontent-length: 2\r\n\r\nok";
+        String coding = "transfer-encoding: chunked\r\n";
+        String chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+        return new Object[][] {
+            {start + "content-length: 2\r\ncontent-length: 3\r\n\r\nok?"},
+            {start + "content-length: 3\r\ncontent-length: 2\r\n\r\nok?"},
+            {start + "content-length: 2, 3\r\n\r\nok?"},
+            {start + "content-length: -1\r\n\r\nok"},
+            {start + "content-length: +2\r\n\r\nok"},
+            {start + "content-length: \r\n\r\nok"},
+            {start + "content-length: 99999999999999999999\r\n\r\nok"},
+            {start + "content-length: 9223372036854775807\r\n\r\nok"},
+            {start + "content-length 2\r\n\r\nok"},
+            {start + "content-length: 2\r\n" + coding + chunks},
+            {start + coding + "content-length: 2\r\n" + chunks},
+            {start + "transfer-encoding: gzip\r\n\r\nok"},
+            {start + "transfer-encoding: gzip\r\ncontent-length: 2\r\n\r\nok"},
+            {start + "transfer-encoding: gzip, chunked\r\n" + chunks},
+            {start + "transfer-encoding: chunked, gzip\r\n" + chunks},
+            {start + "transfer-encoding: gzip\r\n" + coding + chunks},
+            {start + coding + coding + chunks},
+            {start + "transfer-encoding: \r\n\r\nok"},
+            {start + "transfer-encoding chunked\r\n" + chunks},
+            {"HTTP/1.0 200 OK\r\nid: 1\r\nsigned: x\r\n" + coding + chunks},
+            {"HTTP/0.9 200 OK\r\n" + lengthAndBody},
+            {"HTTP/2.0 200 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1 +200 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1 0200 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1 2 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1 20\r\n" + lengthAndBody},
+            {"HTTP/1.1 2000 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1 600 OK\r\n" + lengthAndBody},
+            {"HTTP/1.1\r\n" + lengthAndBody},
+            {"200 OK\r\n" + lengthAndBody},
+            {OK + "signed x\r\n" + lengthAndBody},
+            {OK + "signed\r\n" + lengthAndBody},
+            {OK + "error text\r\n" + lengthAndBody},
+            {OK + " id: 1\r\n" + lengthAndBody},
+            {"HTTP/1.1 100 Continue\r\ncontent-length: 2\r\n\r\nok" + WITH_LENGTH},
+            {"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n" + WITH_LENGTH},
+        };
+    }
+
+    /** Guards against a body that is not the server's, or a status that it did not mean, from a head that is malformed. */
+    @Test(dataProvider = "malformedHeads")
+    public void responseWithAMalformedHeadFails(String text) throws Exception {
+        answer = new Answer(text, End.LATE_FIN);
+        String outcome = send(0);
+        assertTrue(outcome.endsWith(" failed"), outcome);
+    }
+
+    @DataProvider
+    public Object[][] unusualHeads() {
+        return new Object[][] {
+            {"HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok", "200 ok complete"},
+            {OK + "Content-Length : 2\r\nx:\r\n\r\nok", "200 ok complete"},
+            {OK + "TRANSFER-ENCODING:\tChunked \r\nx:\r\n\r\n2\r\nok\r\n0\r\n\r\n", "200 ok complete"},
+            {"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok", "200 ok complete"},
+            {"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + WITH_LENGTH, "200 ok complete"},
+            {"HTTP/1.1 204 No Content\r\ncontent-length: 2\r\n\r\nok", "204  complete"},
+            {"HTTP/1.1 304 Not Modified\r\ncontent-length: 2\r\n\r\n", "304  complete"},
+        };
+    }
+
+    /** Guards against checks so strict that they fail responses which are valid. */
+    @Test(dataProvider = "unusualHeads")
+    public void unusualHeadIsAccepted(String text, String expected) throws Exception {
+        answer = new Answer(text, End.STAYS_OPEN);
+        assertEquals(send(0), expected);
+    }
+
     /** Returns the status, the body and whether the response was complete. */
     private String send(int bodyBytes) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
