Take no status from an answer that broke off before the next one in the daemon, either

A caller of the daemon got a status of 200, with the body of a failure, where a server had answered 500, for calls of tools and engines and for the store. Vert.x puts a connection back into its pool while its decoder holds the beginning of a further answer, and the next head is read as the rest of it.

A head in which another status line stands now fails its request and closes its connection; a call of an engine goes on over a new one. Vert.x does not tell what its decoder holds, so the connection is still used again, but nothing is taken from it. The check is the gateway's, moved to core.

--- a/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
@@ -195,6 +195,10 @@
 
         private void receive(HttpClientResponse response) {
             lastReadMs = connections.clock().nowMs();
+            if (!BufferedRequest.isOneResponse(response)) {
+                closeAndResume();
+                return;
+            }
             response.exceptionHandler(e -> closeAndResume());
             String contentType = response.getHeader("content-type");
             if (response.statusCode() == 200 && contentType != null && contentType.startsWith(EVENT_STREAM)) {
--- a/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
+++ b/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.function.Consumer;
+import org.celerygw.core.helper.StatusLine;
 
 /**
  * An HTTP request whose response is buffered until it is complete. The callback is called exactly once. After a timeout
@@ -86,6 +87,10 @@
     }
 
     private void receive(HttpClientResponse response) {
+        if (!isOneResponse(response)) {
+            abort(HttpResult.Completion.FAILED);
+            return;
+        }
         Buffer responseBody = Buffer.buffer();
         response.handler(part -> {
             responseBody.appendBuffer(part);
@@ -133,6 +138,20 @@
         });
     }
 
+    /**
+     * Returns whether no other response has run into the head of a response. A connection goes back to its pool even if the
+     * beginning of a further response has arrived, which is then read as the beginning of the next one.
+     *
+     * @param response a response whose header section has been received
+     * @return false if another status line stands in its head: its status may be that of another response
+     */
+    public static boolean isOneResponse(HttpClientResponse response) {
+        return !StatusLine.occursIn(response.statusMessage())
+                && response.headers().entries().stream()
+                        .noneMatch(
+                                field -> StatusLine.occursIn(field.getKey()) || StatusLine.occursIn(field.getValue()));
+    }
+
     /**
      * Returns the delay after which the server asks for a retry, from Retry-After-Ms or else from Retry-After.
      *
--- /dev/null
+++ b/daemon/src/test/java/org/celerygw/daemon/client/BrokenAnswerTest.java
@@ -0,0 +1,177 @@
+package org.celerygw.daemon.client;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which responses count as complete when a server stops in one, or writes more than one. */
+public final class BrokenAnswerTest {
+    private static final String WITH_LENGTH = "HTTP/1.1 200 OK\r\ndate: today\r\ncontent-length: 2\r\n\r\nok";
+    private static final String IN_CHUNKS =
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\ntrailer: t\r\n\r\n";
+    private static final String WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\ndate: today\r\n\r\nok";
+    private static final String FAILURE = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 2\r\n\r\nno";
+    private static final int TIMEOUT_MS = 5_000;
+    private static final int TIMEOUT_S = 10;
+
+    private Vertx vertx;
+    private HttpClient http;
+    private ServerSocket listener;
+    private volatile Answer answer;
+
+    private enum End {
+        FIN,
+        RESET,
+        STAYS_OPEN
+    }
+
+    private record Answer(String text, End end) {}
+
+    @BeforeClass
+    public void start() throws IOException {
+        vertx = Vertx.vertx();
+        http = vertx.createHttpClient();
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread acceptThread = new Thread(this::acceptConnections, "broken-answer-server");
+        acceptThread.setDaemon(true);
+        acceptThread.start();
+    }
+
+    @AfterClass
+    public void stop() throws IOException {
+        listener.close();
+        vertx.close().await();
+    }
+
+    @DataProvider
+    public Object[][] answers() {
+        List<Object[]> cases = new ArrayList<>();
+        for (String text : List.of(WITH_LENGTH, IN_CHUNKS, WITHOUT_LENGTH)) {
+            cases.add(new Object[] {text, End.FIN});
+            cases.add(new Object[] {text, End.RESET});
+        }
+        return cases.toArray(Object[][]::new);
+    }
+
+    /** Guards against a response that broke off, in its head or after it, and is taken for a complete one. */
+    @Test(dataProvider = "answers")
+    public void responseThatBreaksOffIsNotComplete(String text, End end) throws Exception {
+        boolean endsWithConnection = text.equals(WITHOUT_LENGTH) && end == End.FIN;
+        int wholeBytes = endsWithConnection ? text.indexOf("\r\n\r\n") + 4 : text.length();
+        List<String> taken = new ArrayList<>();
+        for (int length = 0; length < wholeBytes; length++) {
+            answer = new Answer(text.substring(0, length), end);
+            HttpResult result = send();
+            if (result.completion() == HttpResult.Completion.ANSWERED || !result.requestSent()) {
+                taken.add(length + ": " + result);
+            }
+        }
+        assertEquals(taken.toString(), "[]");
+    }
+
+    @DataProvider
+    public Object[][] copies() {
+        return new Object[][] {{WITH_LENGTH}, {IN_CHUNKS}};
+    }
+
+    /** Guards against a failure that gets the status of a second answer, of which the connection held the beginning. */
+    @Test(dataProvider = "copies")
+    public void failureIsNoSuccessAfterTheBeginningOfAnotherAnswer(String copy) throws Exception {
+        List<String> successes = new ArrayList<>();
+        for (int length = 1; length <= copy.length(); length++) {
+            answer = new Answer(WITH_LENGTH + copy.substring(0, length), End.STAYS_OPEN);
+            send();
+            answer = new Answer(FAILURE, End.STAYS_OPEN);
+            HttpResult result = send();
+            if (result.status() / 100 == 2) {
+                successes.add(length + ": " + result);
+            }
+        }
+        assertEquals(successes.toString(), "[]");
+    }
+
+    /** Guards against the same where the beginning of the second answer comes just before the next one. */
+    @Test(dataProvider = "copies")
+    public void failureIsNoSuccessRightAfterTheBeginningOfAnotherAnswer(String copy) throws Exception {
+        List<String> successes = new ArrayList<>();
+        for (int length = 1; length < copy.indexOf("\r\n\r\n") + 4; length++) {
+            answer = new Answer(copy.substring(0, length) + FAILURE, End.STAYS_OPEN);
+            HttpResult result = send();
+            if (result.status() / 100 == 2) {
+                successes.add(length + ": " + result);
+            }
+        }
+        assertEquals(successes.toString(), "[]");
+    }
+
+    private HttpResult send() throws Exception {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost("127.0.0.1")
+                .setPort(listener.getLocalPort())
+                .setURI("/");
+        vertx.runOnContext(
+                v -> BufferedRequest.send(vertx, http, options, Buffer.buffer(), TIMEOUT_MS, result::complete));
+        return result.get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private void acceptConnections() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                Thread connectionThread = new Thread(() -> serve(socket), "broken-answer-connection");
+                connectionThread.setDaemon(true);
+                connectionThread.start();
+            }
+        } catch (IOException e) {
+            // The listener was closed at the end of the test.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            boolean open = true;
+            while (open) {
+                readHead(in);
+                Answer current = answer;
+                socket.getOutputStream().write(current.text().getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(current.end() == End.RESET, 0);
+                open = current.end() == End.STAYS_OPEN;
+            }
+        } catch (IOException e) {
+            // The client closed the connection, or the test ended.
+        }
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("the connection was closed");
+            }
+            head.append((char) b);
+        }
+    }
+}
--- a/gateway/src/main/java/org/celerygw/gateway/net/ResponseValidator.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ResponseValidator.java
@@ -6,7 +6,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Pattern;
+import org.celerygw.core.helper.StatusLine;
 
 /**
  * Rejects response heads into which another one has run: a server that breaks off in a head and goes on with the next
@@ -14,8 +14,6 @@
  * Rejects framing as well that two recipients could interpret differently, so that the body may not be the server's.
  */
 final class ResponseValidator {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
-
     private ResponseValidator() {}
 
     /**
@@ -27,7 +25,7 @@
         return version.protocolName().equals("HTTP")
                 && version.majorVersion() == 1
                 && hasKnownCoding(head)
-                && !holdsStatusLine(head.status().reasonPhrase())
+                && !StatusLine.occursIn(head.status().reasonPhrase())
                 && isValid(head.headers());
     }
 
@@ -42,14 +40,10 @@
 
     private static boolean isValid(HttpHeaders headers) {
         for (Map.Entry<String, String> field : headers) {
-            if (holdsStatusLine(field.getKey()) || holdsStatusLine(field.getValue())) {
+            if (StatusLine.occursIn(field.getKey()) || StatusLine.occursIn(field.getValue())) {
                 return false;
             }
         }
         return true;
     }
-
-    private static boolean holdsStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
-    }
 }
