Take no reset that a write notices for the end of a response in the daemon, either

A write of an object counted as acknowledged, and a call as answered, when the server answered without a length before it had read the request, and then reset the connection. Cause: as at the gateway: the failure of a write closes the connection, which ends a body without a length. Vert.x fails the future of the write before it ends the response, so that the end can look at it: then the request has failed, and a call of an engine goes on over a new connection.

BrokenAnswerTest, a response without length reset while a request of 16 MB is being written: ANSWERED at the first try before the change, in none of ten after it.

--- a/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
@@ -181,7 +181,8 @@
         private void send(HttpClientRequest httpRequest, Buffer body) {
             sent = true;
             lastReadMs = connections.clock().nowMs();
-            httpRequest.send(body).onComplete(result -> {
+            Future<Void> written = httpRequest.end(body);
+            httpRequest.response().onComplete(result -> {
                 if (!active) {
                     return;
                 }
@@ -189,11 +190,11 @@
                     closeAndResume();
                     return;
                 }
-                receive(result.result());
+                receive(result.result(), written);
             });
         }
 
-        private void receive(HttpClientResponse response) {
+        private void receive(HttpClientResponse response, Future<Void> written) {
             lastReadMs = connections.clock().nowMs();
             if (!BufferedRequest.isOneResponse(response)) {
                 closeAndResume();
@@ -208,7 +209,14 @@
             }
             Buffer responseBody = Buffer.buffer();
             response.handler(part -> appendBody(responseBody, part));
-            response.endHandler(v -> onBodyComplete(response, responseBody, contentType == null ? "" : contentType));
+            response.endHandler(v -> {
+                if (written.failed()) {
+                    // A reset that a write notices closes the connection, which ends a body without a length.
+                    closeAndResume();
+                    return;
+                }
+                onBodyComplete(response, responseBody, contentType == null ? "" : contentType);
+            });
         }
 
         private void readEvents(Buffer part) {
--- a/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
+++ b/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
@@ -77,16 +77,17 @@
             return;
         }
         sent = true;
-        request.send(body).onComplete(result -> {
+        Future<Void> written = request.end(body);
+        request.response().onComplete(result -> {
             if (result.failed()) {
                 fail();
                 return;
             }
-            receive(result.result());
+            receive(result.result(), written);
         });
     }
 
-    private void receive(HttpClientResponse response) {
+    private void receive(HttpClientResponse response, Future<Void> written) {
         if (!isOneResponse(response)) {
             abort(HttpResult.Completion.FAILED);
             return;
@@ -99,13 +100,20 @@
             }
         });
         response.exceptionHandler(e -> fail());
-        response.endHandler(v -> end(new HttpResult(
-                HttpResult.Completion.ANSWERED,
-                true,
-                response.statusCode(),
-                header(response, "content-type"),
-                retryAfterMs(response),
-                responseBody)));
+        response.endHandler(v -> {
+            if (written.failed()) {
+                // A reset that a write notices closes the connection, which ends a body without a length.
+                fail();
+                return;
+            }
+            end(new HttpResult(
+                    HttpResult.Completion.ANSWERED,
+                    true,
+                    response.statusCode(),
+                    header(response, "content-type"),
+                    retryAfterMs(response),
+                    responseBody));
+        });
     }
 
     private void fail() {
--- a/daemon/src/test/java/org/celerygw/daemon/client/BrokenAnswerTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/client/BrokenAnswerTest.java
@@ -1,6 +1,7 @@
 package org.celerygw.daemon.client;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -11,6 +12,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +34,12 @@
     private static final String FAILURE = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 2\r\n\r\nno";
     private static final int TIMEOUT_MS = 5_000;
     private static final int TIMEOUT_S = 10;
+    private static final int LATE_MS = 2;
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    /** More than the buffers of a connection hold, so that it is still being written when the server resets. */
+    private static final int LARGE_BODY_BYTES = 16 << 20;
+
+    private static final int RESETS_DURING_A_WRITE = 10;
 
     private Vertx vertx;
     private HttpClient http;
@@ -41,6 +49,7 @@
     private enum End {
         FIN,
         RESET,
+        LATE_RESET,
         STAYS_OPEN
     }
 
@@ -50,7 +59,9 @@
     public void start() throws IOException {
         vertx = Vertx.vertx();
         http = vertx.createHttpClient();
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket();
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
         Thread acceptThread = new Thread(this::acceptConnections, "broken-answer-server");
         acceptThread.setDaemon(true);
         acceptThread.start();
@@ -123,15 +134,28 @@
         assertEquals(successes.toString(), "[]");
     }
 
+    /** Guards against a body that ends with a reset, noticed while the request is still being written, as a complete one. */
+    @Test
+    public void resetThatIsNoticedByAWriteDoesNotEndTheBody() throws Exception {
+        for (int i = 0; i < RESETS_DURING_A_WRITE; i++) {
+            answer = new Answer(WITHOUT_LENGTH, End.LATE_RESET);
+            HttpResult result = send(HttpMethod.PUT, Buffer.buffer(new byte[LARGE_BODY_BYTES]));
+            assertNotEquals(result.completion(), HttpResult.Completion.ANSWERED);
+        }
+    }
+
     private HttpResult send() throws Exception {
+        return send(HttpMethod.GET, Buffer.buffer());
+    }
+
+    private HttpResult send(HttpMethod method, Buffer body) throws Exception {
         CompletableFuture<HttpResult> result = new CompletableFuture<>();
         RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.GET)
+                .setMethod(method)
                 .setHost("127.0.0.1")
                 .setPort(listener.getLocalPort())
                 .setURI("/");
-        vertx.runOnContext(
-                v -> BufferedRequest.send(vertx, http, options, Buffer.buffer(), TIMEOUT_MS, result::complete));
+        vertx.runOnContext(v -> BufferedRequest.send(vertx, http, options, body, TIMEOUT_MS, result::complete));
         return result.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
@@ -156,10 +180,13 @@
                 readHead(in);
                 Answer current = answer;
                 socket.getOutputStream().write(current.text().getBytes(StandardCharsets.US_ASCII));
-                socket.setSoLinger(current.end() == End.RESET, 0);
+                if (current.end() == End.LATE_RESET) {
+                    Thread.sleep(LATE_MS);
+                }
+                socket.setSoLinger(current.end() == End.RESET || current.end() == End.LATE_RESET, 0);
                 open = current.end() == End.STAYS_OPEN;
             }
-        } catch (IOException e) {
+        } catch (IOException | InterruptedException e) {
             // The client closed the connection, or the test ended.
         }
     }
