--- a/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
+++ b/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.function.Consumer;
+import org.celerygw.core.helper.StatusLine;
 
 /**
  * An HTTP request whose response is buffered until it is complete. The callback is called exactly once. After a timeout
@@ -76,16 +77,21 @@
             return;
         }
         sent = true;
-        request.send(body).onComplete(result -> {
+        Future<Void> written = request.end(body);
+        request.response().onComplete(result -> {
             if (result.failed()) {
                 fail();
                 return;
             }
-            receive(result.result());
+            receive(result.result(), written);
         });
     }
 
-    private void receive(HttpClientResponse response) {
+    private void receive(HttpClientResponse response, Future<Void> written) {
+        if (!isOneResponse(response)) {
+            abort(HttpResult.Completion.FAILED);
+            return;
+        }
         Buffer responseBody = Buffer.buffer();
         response.handler(part -> {
             responseBody.appendBuffer(part);
@@ -94,13 +100,20 @@
             }
         });
         response.exceptionHandler(e -> fail());
-        response.endHandler(v -> end(new HttpResult(
-                HttpResult.Completion.ANSWERED,
-                true,
-                response.statusCode(),
-                header(response, "content-type"),
-                retryAfterMs(response),
-                responseBody)));
+        response.endHandler(v -> {
+            if (written.failed()) {
+                // A reset that a write notices closes the connection, which ends a body without a length.
+                fail();
+                return;
+            }
+            end(new HttpResult(
+                    HttpResult.Completion.ANSWERED,
+                    true,
+                    response.statusCode(),
+                    header(response, "content-type"),
+                    retryAfterMs(response),
+                    responseBody));
+        });
     }
 
     private void fail() {
@@ -133,6 +146,20 @@
         });
     }
 
+    /**
+     * Returns whether no other response has run into the head of a response. A connection goes back to its pool even if the
+     * beginning of a further response has arrived, which is then read as the beginning of the next one.
+     *
+     * @param response a response whose header section has been received
+     * @return false if another status line stands in its head: its status may be that of another response
+     */
+    public static boolean isOneResponse(HttpClientResponse response) {
+        return !StatusLine.occursIn(response.statusMessage())
+                && response.headers().entries().stream()
+                        .noneMatch(
+                                field -> StatusLine.occursIn(field.getKey()) || StatusLine.occursIn(field.getValue()));
+    }
+
     /**
      * Returns the delay after which the server asks for a retry, from Retry-After-Ms or else from Retry-After.
      *
