Log a server's entry only when it says something new

OddRowsTest.entryWrittenAgainWithoutAChangeIsNotLogged: 6 lines for an entry written five times more before, none after.

--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -520,12 +520,21 @@
         public void onChanges(List<Row> rows) {
             rows.forEach(r -> {
                 Optional<BackendServer> server = serverRows.decode(r);
+                logEntryChange(r.key(), server);
+                server.ifPresentOrElse(servers::put, () -> servers.remove(r.key(), clock.nowMs()));
+            });
+        }
+
+        /** Servers write their entries at each heartbeat; a line that says nothing new displaces those of requests. */
+        private void logEntryChange(String id, Optional<BackendServer> server) {
+            Optional<BackendServer> known =
+                    Optional.ofNullable(servers.byId(id)).map(TrackedServer::entry);
+            if (!known.equals(server)) {
                 LOG.atInfo()
-                        .addKeyValue("server", r.key())
+                        .addKeyValue("server", id)
                         .addKeyValue("entry", server.map(Object::toString).orElse("no usable server"))
                         .log("servers: backend server entry changed");
-                server.ifPresentOrElse(servers::put, () -> servers.remove(r.key(), clock.nowMs()));
-            });
+            }
         }
 
         @Override
--- a/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
@@ -13,8 +13,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes responses, rejects malformed heads and those that {@link ResponseValidator} rejects, and knows whether it holds the beginning of a
- * response, which would become the beginning of the next one.
+ * Decodes responses, rejects malformed heads and those that {@link ResponseValidator} rejects, and knows whether it holds
+ * the beginning of a response, which would become the beginning of the next one.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d{2}");
