--- a/gateway/src/test/java/org/celerygw/gateway/forward/BrokenStreamTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/BrokenStreamTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -50,6 +52,34 @@
         assertBrokenAfterFirstEvent(sendRequest(getRequest("/resume/", "1")));
     }
 
+    @DataProvider
+    public Object[][] partsOfAResumption() {
+        String head = "HTTP/1.1 200 OK\r\nid: 1\r\nsigned: x\r\ntransfer-encoding: chunked\r\n\r\n";
+        return IntStream.rangeClosed(0, head.length())
+                .boxed()
+                .flatMap(length -> Stream.of(false, true).map(reset -> new Object[] {head.substring(0, length), reset}))
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against a stream that ends as complete when the server that goes on with it breaks off in its head. */
+    @Test(dataProvider = "partsOfAResumption")
+    public void headThatBreaksOffDoesNotEndAResumedStream(String part, boolean reset) throws Exception {
+        ScriptedServer.Script script = (request, out, socket) -> {
+            if (request.header("last-event").isEmpty()) {
+                writeStreamHead(request, out);
+                writeChunk(out, FIRST_EVENT);
+            } else {
+                out.write(part.getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(reset, 0);
+            }
+            out.flush();
+            socket.close();
+        };
+        startServer(script);
+        startServer(script);
+        assertBrokenAfterFirstEvent(sendRequest(getRequest("/resume/", "1")));
+    }
+
     @DataProvider
     public Object[][] bytesInAStream() {
         String head = "HTTP/1.1 500 Internal Server Error\r\nid: 1\r\ncontent-length: 5\r\n\r\nerror";
