Deliver no part of a chunk that does not end where it should

What had arrived in the same read was delivered all the same, so that a stream's client got an event with foreign bytes in it before its connection was closed. Now it is discarded. SplicedBodyTest.eventOfAChunkThatDoesNotEndWhereItShould- IsNotDelivered failed before.

--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -205,6 +205,8 @@
                 reportUnassigned("data after a response");
                 close();
             } else if (object.decoderResult().isFailure()) {
+                // What has just arrived may be foreign: the end of a chunk shows it only after its bytes.
+                collectedBody.reset();
                 fail();
                 close();
             } else {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/SplicedBodyTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/SplicedBodyTest.java
@@ -46,6 +46,25 @@
         assertTrue(response.startsWith("HTTP/1.1 502"), response);
     }
 
+    /** Guards against an event into which bytes have run that a chunk does not hold, as its end shows. */
+    @Test
+    public void eventOfAChunkThatDoesNotEndWhereItShouldIsNotDelivered() throws Exception {
+        startServer((request, out, socket) -> {
+            String head = "HTTP/1.1 200 OK\r\nid: " + request.header("id")
+                    + "\r\nsigned: x\r\ntransfer-encoding: chunked\r\n\r\n";
+            out.write(head.getBytes(StandardCharsets.US_ASCII));
+            writeChunk(out, "id: 1\ndata: one\n\n");
+            out.flush();
+            Thread.sleep(50);
+            String events = "id: 2\ndata: two\n\nid: 3\ndata: three\n\n";
+            out.write((Integer.toHexString(events.length()) + "\r\n" + events.replace("two", "HTtwo") + "\r\n0\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+        });
+        String response = sendRequest(getRequest("/stream/", "1"));
+        assertTrue(response.contains("data: one") && !response.contains("HT" + "two"), response);
+        assertTrue(!response.endsWith("0\r\n\r\n"), response);
+    }
+
     /** A whole response counts whatever stands behind it, and a body may quote a response of another kind. */
     @Test
     public void wholeBodyCounts() throws Exception {
