Schedule the next check of the links first, and log errors in the handling of responses

The class of the odd entries: a loop that goes on only if its last step ended well, and an error that nobody logs.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -65,11 +65,12 @@
 
     /** Starts the checks that find out whether this host is cut off from the servers. */
     public void start() {
+        // First, so that the next check does not depend on how this one ends.
+        scheduler.schedule(CHECK_INTERVAL_MS, this::start);
         int count = reachability.serversToProbe(clock.nowMs());
         if (count > 0) {
             probe(count);
         }
-        scheduler.schedule(CHECK_INTERVAL_MS, this::start);
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -244,6 +245,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.atError()
+                    .addKeyValue("address", pool.address())
+                    .addKeyValue("cause", cause.toString())
+                    .log("origins: handling a response has failed; its connection is closed");
+        }
         // Reports a reset as a failure before the decoder can take the end of the connection for the end of the
         // response.
         fail();
