--- a/core/src/main/java/org/celerygw/core/helper/StatusLine.java
+++ b/core/src/main/java/org/celerygw/core/helper/StatusLine.java
@@ -8,7 +8,8 @@
  * second; the status line of the second stands in the reason phrase or in a header field.
  */
 public final class StatusLine {
-    private static final Pattern VERSION_AND_STATUS = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    /** What follows the code tells it from an address, which may stand behind a version in a Via field. */
+    private static final Pattern VERSION_AND_STATUS = Pattern.compile("HTTP/\\d\\.\\d [1-5]\\d{2}(?= |$)");
 
     private StatusLine() {}
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -528,6 +528,13 @@
             }
         }
 
+        /** Says nothing about the request, in contrast to a connection that breaks while the request runs. */
+        @Override
+        public void onMalformed() {
+            server.recordFailure(forwarder.clock.nowMs());
+            onResponseLost(server, "malformed");
+        }
+
         /** Closes the connection and handles the response as lost. */
         private void giveUp(String outcome) {
             if (pendingRequest != null) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -311,6 +311,12 @@
                 handler.onComplete();
             }
 
+            @Override
+            public void onMalformed() {
+                endDirect();
+                handler.onMalformed();
+            }
+
             @Override
             public void onFailure(boolean sent) {
                 endDirect();
@@ -353,6 +359,11 @@
                 }
             }
 
+            @Override
+            public void onMalformed() {
+                handler.onMalformed();
+            }
+
             @Override
             public void onFailure(boolean sent) {
                 if (sent) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -107,6 +107,13 @@
                 handler.onFailure(sent);
             }
         }
+
+        void failMalformed() {
+            if (!finished) {
+                finished = true;
+                handler.onMalformed();
+            }
+        }
     }
 
     OriginPool.PendingRequest start(
@@ -118,6 +125,7 @@
         skippingResponse = false;
         skippedResponses = 0;
         receivedBytes = 0;
+        decoder.setRequestMethod(request.method());
         if (ctx != null && ctx.channel().isActive()) {
             write(next);
         }
@@ -208,8 +216,8 @@
             } else if (object.decoderResult().isFailure()) {
                 // What has just arrived may be foreign: the end of a chunk shows it only after its bytes.
                 collectedBody.reset();
-                fail();
-                close();
+                reportUnassigned("malformed response");
+                failMalformed(pending);
             } else {
                 handleResponsePart(pending, object);
             }
@@ -297,7 +305,7 @@
             keepAlive = HttpUtil.isKeepAlive(head);
             readKeepAliveTimeout(head);
             if (!skippingResponse) {
-                splicedBody = isEventStream(head) ? null : pool.newSplicedBodyDetector();
+                splicedBody = pool.newSplicedBodyDetector();
                 current.handler.onHead(head);
             } else if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
                 fail();
@@ -309,11 +317,6 @@
         }
     }
 
-    /** The events of a stream are checked one by one by their reader. */
-    private static boolean isEventStream(HttpResponse head) {
-        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
-    }
-
     private void handleContent(Exchange current, HttpContent content) {
         if (!accepts(PART_OVERHEAD_BYTES)) {
             return;
@@ -334,8 +337,7 @@
         }
         if (isSpliced()) {
             reportUnassigned("response in the body of a response");
-            fail();
-            close();
+            failMalformed(current);
             return;
         }
         current.finished = true;
@@ -390,6 +392,12 @@
         }
     }
 
+    private void failMalformed(Exchange current) {
+        pending = null;
+        current.failMalformed();
+        close();
+    }
+
     private void fail() {
         passOnBody();
         Exchange current = pending;
--- a/gateway/src/main/java/org/celerygw/gateway/net/ResponseHandler.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ResponseHandler.java
@@ -30,4 +30,9 @@
      * @param sent false when no byte of the request has left this host, so that the origin cannot have processed it
      */
     void onFailure(boolean sent);
+
+    /** Called instead of {@link #onFailure} when the origin has sent what is no valid response; it may have processed it. */
+    default void onMalformed() {
+        onFailure(true);
+    }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/net/SplicedBodyDetector.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/SplicedBodyDetector.java
@@ -11,13 +11,17 @@
     private static final String STATUS_LINE_START = "HTTP/1.";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}[ \\r]");
     private static final String LINE_END = "\r\n";
-    /** How much of a head is searched for the field, so that the work for a body is bounded. */
+    /** How much of a head is searched for the field. */
     private static final int MAX_HEAD_CHARS = 4_096;
 
+    /** A body with more of them quotes them; also bounds the work for a body. */
+    private static final int MAX_STATUS_LINES = 64;
+
     private final String field;
     /** The end of what was added, from where a head may begin that was not searched whole yet. */
     private String window = "";
 
+    private int statusLines;
     private boolean found;
 
     /**
@@ -47,21 +51,22 @@
     private void search(byte[] added, int startLimit) {
         String text = window + new String(added, StandardCharsets.ISO_8859_1);
         int start = text.indexOf(STATUS_LINE_START);
-        while (start >= 0 && start < startLimit && !found) {
-            found = isHead(text.substring(start, Math.min(text.length(), start + MAX_HEAD_CHARS)));
+        while (start >= 0 && start < startLimit && !found && statusLines < MAX_STATUS_LINES) {
+            found = isHead(text, start, Math.min(text.length(), start + MAX_HEAD_CHARS));
             start = text.indexOf(STATUS_LINE_START, start + 1);
         }
         int open = text.indexOf(STATUS_LINE_START, Math.max(0, text.length() - MAX_HEAD_CHARS));
         window = text.substring(open >= 0 ? open : Math.max(0, text.length() - STATUS_LINE_START.length() + 1));
     }
 
-    /** Returns whether the text begins with a status line and a header section that has the field. */
-    private boolean isHead(String text) {
-        if (!STATUS_LINE.matcher(text).lookingAt()) {
+    /** Returns whether a status line and a header section that has the field begin in this part of the text. */
+    private boolean isHead(String text, int start, int limit) {
+        if (!STATUS_LINE.matcher(text).region(start, limit).lookingAt()) {
             return false;
         }
-        int line = text.indexOf(LINE_END);
-        while (line >= 0) {
+        statusLines++;
+        int line = text.indexOf(LINE_END, start);
+        while (line >= 0 && line < limit) {
             line += LINE_END.length();
             if (text.regionMatches(true, line, field, 0, field.length())) {
                 return true;
--- a/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
@@ -20,11 +21,22 @@
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d{2}");
 
     private boolean inHead;
+    private boolean headRequest;
 
     StrictResponseDecoder(int maxHeadBytes, int maxChunkBytes) {
         super(new HttpDecoderConfig().setMaxHeaderSize(maxHeadBytes).setMaxChunkSize(maxChunkBytes));
     }
 
+    /** Sets the method of the request whose response comes next: one to HEAD has no body, whatever its length says. */
+    void setRequestMethod(HttpMethod method) {
+        headRequest = HttpMethod.HEAD.equals(method);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return headRequest || super.isContentAlwaysEmpty(message);
+    }
+
     /** Returns whether bytes have arrived of which no message has been made yet. */
     boolean holdsPartOfMessage() {
         return inHead || actualReadableBytes() > 0;
--- a/gateway/src/test/java/org/celerygw/gateway/forward/SecondAnswerTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/SecondAnswerTest.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -52,6 +53,29 @@
         assertEquals(successes, List.of());
     }
 
+    /** Guards against requests that are held as harmful because their servers write more than their answers. */
+    @Test
+    public void requestsAreNotBlamedForServersThatWriteMoreThanOneAnswer() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            startServer((request, out, socket) -> {
+                out.write("HTTP/1.1 200 OK\r\nfoo: b".getBytes(StandardCharsets.US_ASCII));
+                respond(out, "200 OK", request, SIGNED, "ok");
+            });
+        }
+        for (int i = 0; i < 4; i++) {
+            String response = sendRequest(getRequest("/unsafe/", "r" + i));
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+        }
+    }
+
+    /** Guards against a sound response that is refused because a field names a version before an address. */
+    @Test
+    public void addressBehindAVersionIsNoStatusLine() throws Exception {
+        startServer((request, out, socket) ->
+                respond(out, "200 OK", request, SIGNED + "via: HTTP/1.1 192.168.0.7:8080\r\n", "ok"));
+        assertTrue(sendRequest(getRequest("/unsafe/", "1")).endsWith("ok"));
+    }
+
     private static void answer(ScriptedServer.ReceivedRequest request, OutputStream out, String part, Moment moment)
             throws IOException {
         boolean fails = request.header("id").startsWith("fails");
--- a/gateway/src/test/java/org/celerygw/gateway/forward/SplicedBodyTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/SplicedBodyTest.java
@@ -30,6 +30,33 @@
         assertTrue(response.startsWith("HTTP/1.1 502") || response.startsWith("HTTP/1.1 504"), response);
     }
 
+    /** Guards against a content type that a server may send on any route and that would end the search for a second head. */
+    @Test
+    public void bodyThatCallsItselfAnEventStreamIsSearchedToo() throws Exception {
+        startServer((request, out, socket) -> {
+            String head = "HTTP/1.1 200 OK\r\nid: " + request.header("id")
+                    + "\r\nsigned: x\r\ncontent-type: text/event-stream\r\ncontent-length: 400\r\n\r\n";
+            out.write((head + BODY.substring(0, 100)).getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            Thread.sleep(50);
+            out.write((head + BODY).getBytes(StandardCharsets.US_ASCII));
+        });
+        assertTrue(sendRequest(getRequest("/short/", "1")).startsWith("HTTP/1.1 502"));
+    }
+
+    /** Guards against a response to HEAD that fails, or brings bytes behind it, because its length is taken for a body's. */
+    @Test
+    public void responseToHeadHasNoBody() throws Exception {
+        startServer((request, out, socket) -> out.write(
+                ("HTTP/1.1 200 OK\r\nid: " + request.header("id") + "\r\nsigned: x\r\ncontent-length: 4\r\n\r\n"
+                                + (request.header("id").equals("extra") ? "HTTP" : ""))
+                        .getBytes(StandardCharsets.US_ASCII)));
+        for (String id : new String[] {"plain", "extra", "next"}) {
+            String response = sendRequest(getRequest("/short/", id).replace("GET", "HEAD"));
+            assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("\r\n\r\n"), response);
+        }
+    }
+
     /** Guards against a response without a length to whose body a second one is added. */
     @Test
     public void secondResponseBehindABodyWithoutALengthIsNoSuccess() throws Exception {
