--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -184,7 +184,7 @@
         return false;
     }
 
-    /** Logs and counts received data that belongs to no request; once for each connection, which is closed for it. */
+    /** Logs and counts received data that belongs to no request, unless the connection is closed already. */
     private void reportUnassigned(String what) {
         if (closed) {
             return;
