--- a/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Digest.java
@@ -33,6 +33,8 @@
     zone_ = "";
     started_ = emptyIntList();
     suspects_ = java.util.Collections.emptyList();
+    customerWork_ = java.util.Collections.emptyList();
+    zoneRoom_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -598,6 +600,204 @@
     return continued_ == null ? org.celerygw.core.gen.peers.DigestPart.getDefaultInstance() : continued_;
   }
 
+  public static final int CUSTOMER_WORK_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private java.util.List<org.celerygw.core.gen.peers.CustomerWork> customerWork_;
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.celerygw.core.gen.peers.CustomerWork> getCustomerWorkList() {
+    return customerWork_;
+  }
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.celerygw.core.gen.peers.CustomerWorkOrBuilder> 
+      getCustomerWorkOrBuilderList() {
+    return customerWork_;
+  }
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  @java.lang.Override
+  public int getCustomerWorkCount() {
+    return customerWork_.size();
+  }
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.CustomerWork getCustomerWork(int index) {
+    return customerWork_.get(index);
+  }
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.CustomerWorkOrBuilder getCustomerWorkOrBuilder(
+      int index) {
+    return customerWork_.get(index);
+  }
+
+  public static final int ZONE_ROOM_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private java.util.List<org.celerygw.core.gen.peers.ZoneRoom> zoneRoom_;
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.celerygw.core.gen.peers.ZoneRoom> getZoneRoomList() {
+    return zoneRoom_;
+  }
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.celerygw.core.gen.peers.ZoneRoomOrBuilder> 
+      getZoneRoomOrBuilderList() {
+    return zoneRoom_;
+  }
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  @java.lang.Override
+  public int getZoneRoomCount() {
+    return zoneRoom_.size();
+  }
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.ZoneRoom getZoneRoom(int index) {
+    return zoneRoom_.get(index);
+  }
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.ZoneRoomOrBuilder getZoneRoomOrBuilder(
+      int index) {
+    return zoneRoom_.get(index);
+  }
+
+  public static final int QUOTA_REQUEST_FIELD_NUMBER = 19;
+  private org.celerygw.core.gen.peers.QuotaRequest quotaRequest_;
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaRequest() {
+    return ((bitField0_ & 0x00000008) != 0);
+  }
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   * @return The quotaRequest.
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.QuotaRequest getQuotaRequest() {
+    return quotaRequest_ == null ? org.celerygw.core.gen.peers.QuotaRequest.getDefaultInstance() : quotaRequest_;
+  }
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+    return quotaRequest_ == null ? org.celerygw.core.gen.peers.QuotaRequest.getDefaultInstance() : quotaRequest_;
+  }
+
+  public static final int QUOTA_REPLY_FIELD_NUMBER = 20;
+  private org.celerygw.core.gen.peers.QuotaReply quotaReply_;
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   * @return Whether the quotaReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaReply() {
+    return ((bitField0_ & 0x00000010) != 0);
+  }
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   * @return The quotaReply.
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.QuotaReply getQuotaReply() {
+    return quotaReply_ == null ? org.celerygw.core.gen.peers.QuotaReply.getDefaultInstance() : quotaReply_;
+  }
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.QuotaReplyOrBuilder getQuotaReplyOrBuilder() {
+    return quotaReply_ == null ? org.celerygw.core.gen.peers.QuotaReply.getDefaultInstance() : quotaReply_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -668,6 +868,18 @@
     if (((bitField0_ & 0x00000004) != 0)) {
       output.writeMessage(16, getContinued());
     }
+    for (int i = 0; i < customerWork_.size(); i++) {
+      output.writeMessage(17, customerWork_.get(i));
+    }
+    for (int i = 0; i < zoneRoom_.size(); i++) {
+      output.writeMessage(18, zoneRoom_.get(i));
+    }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      output.writeMessage(19, getQuotaRequest());
+    }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      output.writeMessage(20, getQuotaReply());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -762,6 +974,32 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, getContinued());
     }
+
+        {
+          final int count = customerWork_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(customerWork_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = zoneRoom_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(zoneRoom_.get(i));
+          }
+          size += 2 * count;
+        }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, getQuotaRequest());
+    }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, getQuotaReply());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -818,6 +1056,20 @@
       if (!getContinued()
           .equals(other.getContinued())) return false;
     }
+    if (!getCustomerWorkList()
+        .equals(other.getCustomerWorkList())) return false;
+    if (!getZoneRoomList()
+        .equals(other.getZoneRoomList())) return false;
+    if (hasQuotaRequest() != other.hasQuotaRequest()) return false;
+    if (hasQuotaRequest()) {
+      if (!getQuotaRequest()
+          .equals(other.getQuotaRequest())) return false;
+    }
+    if (hasQuotaReply() != other.hasQuotaReply()) return false;
+    if (hasQuotaReply()) {
+      if (!getQuotaReply()
+          .equals(other.getQuotaReply())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -880,6 +1132,22 @@
       hash = (37 * hash) + CONTINUED_FIELD_NUMBER;
       hash = (53 * hash) + getContinued().hashCode();
     }
+    if (getCustomerWorkCount() > 0) {
+      hash = (37 * hash) + CUSTOMER_WORK_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomerWorkList().hashCode();
+    }
+    if (getZoneRoomCount() > 0) {
+      hash = (37 * hash) + ZONE_ROOM_FIELD_NUMBER;
+      hash = (53 * hash) + getZoneRoomList().hashCode();
+    }
+    if (hasQuotaRequest()) {
+      hash = (37 * hash) + QUOTA_REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotaRequest().hashCode();
+    }
+    if (hasQuotaReply()) {
+      hash = (37 * hash) + QUOTA_REPLY_FIELD_NUMBER;
+      hash = (53 * hash) + getQuotaReply().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1037,6 +1305,10 @@
         internalGetPermitReplyFieldBuilder();
         internalGetSuspectsFieldBuilder();
         internalGetContinuedFieldBuilder();
+        internalGetCustomerWorkFieldBuilder();
+        internalGetZoneRoomFieldBuilder();
+        internalGetQuotaRequestFieldBuilder();
+        internalGetQuotaReplyFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1083,6 +1355,30 @@
         continuedBuilder_.dispose();
         continuedBuilder_ = null;
       }
+      if (customerWorkBuilder_ == null) {
+        customerWork_ = java.util.Collections.emptyList();
+      } else {
+        customerWork_ = null;
+        customerWorkBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
+      if (zoneRoomBuilder_ == null) {
+        zoneRoom_ = java.util.Collections.emptyList();
+      } else {
+        zoneRoom_ = null;
+        zoneRoomBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
+      quotaRequest_ = null;
+      if (quotaRequestBuilder_ != null) {
+        quotaRequestBuilder_.dispose();
+        quotaRequestBuilder_ = null;
+      }
+      quotaReply_ = null;
+      if (quotaReplyBuilder_ != null) {
+        quotaReplyBuilder_.dispose();
+        quotaReplyBuilder_ = null;
+      }
       return this;
     }
 
@@ -1134,6 +1430,24 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (customerWorkBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          customerWork_ = java.util.Collections.unmodifiableList(customerWork_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.customerWork_ = customerWork_;
+      } else {
+        result.customerWork_ = customerWorkBuilder_.build();
+      }
+      if (zoneRoomBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          zoneRoom_ = java.util.Collections.unmodifiableList(zoneRoom_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.zoneRoom_ = zoneRoom_;
+      } else {
+        result.zoneRoom_ = zoneRoomBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.celerygw.core.gen.peers.Digest result) {
@@ -1191,6 +1505,18 @@
             : continuedBuilder_.build();
         to_bitField0_ |= 0x00000004;
       }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.quotaRequest_ = quotaRequestBuilder_ == null
+            ? quotaRequest_
+            : quotaRequestBuilder_.build();
+        to_bitField0_ |= 0x00000008;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.quotaReply_ = quotaReplyBuilder_ == null
+            ? quotaReply_
+            : quotaReplyBuilder_.build();
+        to_bitField0_ |= 0x00000010;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1312,6 +1638,64 @@
       if (other.hasContinued()) {
         mergeContinued(other.getContinued());
       }
+      if (customerWorkBuilder_ == null) {
+        if (!other.customerWork_.isEmpty()) {
+          if (customerWork_.isEmpty()) {
+            customerWork_ = other.customerWork_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensureCustomerWorkIsMutable();
+            customerWork_.addAll(other.customerWork_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.customerWork_.isEmpty()) {
+          if (customerWorkBuilder_.isEmpty()) {
+            customerWorkBuilder_.dispose();
+            customerWorkBuilder_ = null;
+            customerWork_ = other.customerWork_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            customerWorkBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCustomerWorkFieldBuilder() : null;
+          } else {
+            customerWorkBuilder_.addAllMessages(other.customerWork_);
+          }
+        }
+      }
+      if (zoneRoomBuilder_ == null) {
+        if (!other.zoneRoom_.isEmpty()) {
+          if (zoneRoom_.isEmpty()) {
+            zoneRoom_ = other.zoneRoom_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureZoneRoomIsMutable();
+            zoneRoom_.addAll(other.zoneRoom_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.zoneRoom_.isEmpty()) {
+          if (zoneRoomBuilder_.isEmpty()) {
+            zoneRoomBuilder_.dispose();
+            zoneRoomBuilder_ = null;
+            zoneRoom_ = other.zoneRoom_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            zoneRoomBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetZoneRoomFieldBuilder() : null;
+          } else {
+            zoneRoomBuilder_.addAllMessages(other.zoneRoom_);
+          }
+        }
+      }
+      if (other.hasQuotaRequest()) {
+        mergeQuotaRequest(other.getQuotaRequest());
+      }
+      if (other.hasQuotaReply()) {
+        mergeQuotaReply(other.getQuotaReply());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1456,6 +1840,46 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 130
+            case 138: {
+              org.celerygw.core.gen.peers.CustomerWork m =
+                  input.readMessage(
+                      org.celerygw.core.gen.peers.CustomerWork.parser(),
+                      extensionRegistry);
+              if (customerWorkBuilder_ == null) {
+                ensureCustomerWorkIsMutable();
+                customerWork_.add(m);
+              } else {
+                customerWorkBuilder_.addMessage(m);
+              }
+              break;
+            } // case 138
+            case 146: {
+              org.celerygw.core.gen.peers.ZoneRoom m =
+                  input.readMessage(
+                      org.celerygw.core.gen.peers.ZoneRoom.parser(),
+                      extensionRegistry);
+              if (zoneRoomBuilder_ == null) {
+                ensureZoneRoomIsMutable();
+                zoneRoom_.add(m);
+              } else {
+                zoneRoomBuilder_.addMessage(m);
+              }
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetQuotaRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetQuotaReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3237,6 +3661,944 @@
       return continuedBuilder_;
     }
 
+    private java.util.List<org.celerygw.core.gen.peers.CustomerWork> customerWork_ =
+      java.util.Collections.emptyList();
+    private void ensureCustomerWorkIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        customerWork_ = new java.util.ArrayList<org.celerygw.core.gen.peers.CustomerWork>(customerWork_);
+        bitField0_ |= 0x00010000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.CustomerWork, org.celerygw.core.gen.peers.CustomerWork.Builder, org.celerygw.core.gen.peers.CustomerWorkOrBuilder> customerWorkBuilder_;
+
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.CustomerWork> getCustomerWorkList() {
+      if (customerWorkBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(customerWork_);
+      } else {
+        return customerWorkBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public int getCustomerWorkCount() {
+      if (customerWorkBuilder_ == null) {
+        return customerWork_.size();
+      } else {
+        return customerWorkBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public org.celerygw.core.gen.peers.CustomerWork getCustomerWork(int index) {
+      if (customerWorkBuilder_ == null) {
+        return customerWork_.get(index);
+      } else {
+        return customerWorkBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder setCustomerWork(
+        int index, org.celerygw.core.gen.peers.CustomerWork value) {
+      if (customerWorkBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCustomerWorkIsMutable();
+        customerWork_.set(index, value);
+        onChanged();
+      } else {
+        customerWorkBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder setCustomerWork(
+        int index, org.celerygw.core.gen.peers.CustomerWork.Builder builderForValue) {
+      if (customerWorkBuilder_ == null) {
+        ensureCustomerWorkIsMutable();
+        customerWork_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        customerWorkBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder addCustomerWork(org.celerygw.core.gen.peers.CustomerWork value) {
+      if (customerWorkBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCustomerWorkIsMutable();
+        customerWork_.add(value);
+        onChanged();
+      } else {
+        customerWorkBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder addCustomerWork(
+        int index, org.celerygw.core.gen.peers.CustomerWork value) {
+      if (customerWorkBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCustomerWorkIsMutable();
+        customerWork_.add(index, value);
+        onChanged();
+      } else {
+        customerWorkBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder addCustomerWork(
+        org.celerygw.core.gen.peers.CustomerWork.Builder builderForValue) {
+      if (customerWorkBuilder_ == null) {
+        ensureCustomerWorkIsMutable();
+        customerWork_.add(builderForValue.build());
+        onChanged();
+      } else {
+        customerWorkBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder addCustomerWork(
+        int index, org.celerygw.core.gen.peers.CustomerWork.Builder builderForValue) {
+      if (customerWorkBuilder_ == null) {
+        ensureCustomerWorkIsMutable();
+        customerWork_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        customerWorkBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder addAllCustomerWork(
+        java.lang.Iterable<? extends org.celerygw.core.gen.peers.CustomerWork> values) {
+      if (customerWorkBuilder_ == null) {
+        ensureCustomerWorkIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, customerWork_);
+        onChanged();
+      } else {
+        customerWorkBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder clearCustomerWork() {
+      if (customerWorkBuilder_ == null) {
+        customerWork_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+      } else {
+        customerWorkBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public Builder removeCustomerWork(int index) {
+      if (customerWorkBuilder_ == null) {
+        ensureCustomerWorkIsMutable();
+        customerWork_.remove(index);
+        onChanged();
+      } else {
+        customerWorkBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public org.celerygw.core.gen.peers.CustomerWork.Builder getCustomerWorkBuilder(
+        int index) {
+      return internalGetCustomerWorkFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public org.celerygw.core.gen.peers.CustomerWorkOrBuilder getCustomerWorkOrBuilder(
+        int index) {
+      if (customerWorkBuilder_ == null) {
+        return customerWork_.get(index);  } else {
+        return customerWorkBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public java.util.List<? extends org.celerygw.core.gen.peers.CustomerWorkOrBuilder> 
+         getCustomerWorkOrBuilderList() {
+      if (customerWorkBuilder_ != null) {
+        return customerWorkBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(customerWork_);
+      }
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public org.celerygw.core.gen.peers.CustomerWork.Builder addCustomerWorkBuilder() {
+      return internalGetCustomerWorkFieldBuilder().addBuilder(
+          org.celerygw.core.gen.peers.CustomerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public org.celerygw.core.gen.peers.CustomerWork.Builder addCustomerWorkBuilder(
+        int index) {
+      return internalGetCustomerWorkFieldBuilder().addBuilder(
+          index, org.celerygw.core.gen.peers.CustomerWork.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * customers that compete for engines at this host
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.CustomerWork.Builder> 
+         getCustomerWorkBuilderList() {
+      return internalGetCustomerWorkFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.CustomerWork, org.celerygw.core.gen.peers.CustomerWork.Builder, org.celerygw.core.gen.peers.CustomerWorkOrBuilder> 
+        internalGetCustomerWorkFieldBuilder() {
+      if (customerWorkBuilder_ == null) {
+        customerWorkBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.celerygw.core.gen.peers.CustomerWork, org.celerygw.core.gen.peers.CustomerWork.Builder, org.celerygw.core.gen.peers.CustomerWorkOrBuilder>(
+                customerWork_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        customerWork_ = null;
+      }
+      return customerWorkBuilder_;
+    }
+
+    private java.util.List<org.celerygw.core.gen.peers.ZoneRoom> zoneRoom_ =
+      java.util.Collections.emptyList();
+    private void ensureZoneRoomIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        zoneRoom_ = new java.util.ArrayList<org.celerygw.core.gen.peers.ZoneRoom>(zoneRoom_);
+        bitField0_ |= 0x00020000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.ZoneRoom, org.celerygw.core.gen.peers.ZoneRoom.Builder, org.celerygw.core.gen.peers.ZoneRoomOrBuilder> zoneRoomBuilder_;
+
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.ZoneRoom> getZoneRoomList() {
+      if (zoneRoomBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(zoneRoom_);
+      } else {
+        return zoneRoomBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public int getZoneRoomCount() {
+      if (zoneRoomBuilder_ == null) {
+        return zoneRoom_.size();
+      } else {
+        return zoneRoomBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public org.celerygw.core.gen.peers.ZoneRoom getZoneRoom(int index) {
+      if (zoneRoomBuilder_ == null) {
+        return zoneRoom_.get(index);
+      } else {
+        return zoneRoomBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder setZoneRoom(
+        int index, org.celerygw.core.gen.peers.ZoneRoom value) {
+      if (zoneRoomBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZoneRoomIsMutable();
+        zoneRoom_.set(index, value);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder setZoneRoom(
+        int index, org.celerygw.core.gen.peers.ZoneRoom.Builder builderForValue) {
+      if (zoneRoomBuilder_ == null) {
+        ensureZoneRoomIsMutable();
+        zoneRoom_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        zoneRoomBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder addZoneRoom(org.celerygw.core.gen.peers.ZoneRoom value) {
+      if (zoneRoomBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZoneRoomIsMutable();
+        zoneRoom_.add(value);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder addZoneRoom(
+        int index, org.celerygw.core.gen.peers.ZoneRoom value) {
+      if (zoneRoomBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZoneRoomIsMutable();
+        zoneRoom_.add(index, value);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder addZoneRoom(
+        org.celerygw.core.gen.peers.ZoneRoom.Builder builderForValue) {
+      if (zoneRoomBuilder_ == null) {
+        ensureZoneRoomIsMutable();
+        zoneRoom_.add(builderForValue.build());
+        onChanged();
+      } else {
+        zoneRoomBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder addZoneRoom(
+        int index, org.celerygw.core.gen.peers.ZoneRoom.Builder builderForValue) {
+      if (zoneRoomBuilder_ == null) {
+        ensureZoneRoomIsMutable();
+        zoneRoom_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        zoneRoomBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder addAllZoneRoom(
+        java.lang.Iterable<? extends org.celerygw.core.gen.peers.ZoneRoom> values) {
+      if (zoneRoomBuilder_ == null) {
+        ensureZoneRoomIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, zoneRoom_);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder clearZoneRoom() {
+      if (zoneRoomBuilder_ == null) {
+        zoneRoom_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public Builder removeZoneRoom(int index) {
+      if (zoneRoomBuilder_ == null) {
+        ensureZoneRoomIsMutable();
+        zoneRoom_.remove(index);
+        onChanged();
+      } else {
+        zoneRoomBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public org.celerygw.core.gen.peers.ZoneRoom.Builder getZoneRoomBuilder(
+        int index) {
+      return internalGetZoneRoomFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public org.celerygw.core.gen.peers.ZoneRoomOrBuilder getZoneRoomOrBuilder(
+        int index) {
+      if (zoneRoomBuilder_ == null) {
+        return zoneRoom_.get(index);  } else {
+        return zoneRoomBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public java.util.List<? extends org.celerygw.core.gen.peers.ZoneRoomOrBuilder> 
+         getZoneRoomOrBuilderList() {
+      if (zoneRoomBuilder_ != null) {
+        return zoneRoomBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(zoneRoom_);
+      }
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public org.celerygw.core.gen.peers.ZoneRoom.Builder addZoneRoomBuilder() {
+      return internalGetZoneRoomFieldBuilder().addBuilder(
+          org.celerygw.core.gen.peers.ZoneRoom.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public org.celerygw.core.gen.peers.ZoneRoom.Builder addZoneRoomBuilder(
+        int index) {
+      return internalGetZoneRoomFieldBuilder().addBuilder(
+          index, org.celerygw.core.gen.peers.ZoneRoom.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * free room by zone as known to this host, for hosts of other zones
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.ZoneRoom.Builder> 
+         getZoneRoomBuilderList() {
+      return internalGetZoneRoomFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.ZoneRoom, org.celerygw.core.gen.peers.ZoneRoom.Builder, org.celerygw.core.gen.peers.ZoneRoomOrBuilder> 
+        internalGetZoneRoomFieldBuilder() {
+      if (zoneRoomBuilder_ == null) {
+        zoneRoomBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.celerygw.core.gen.peers.ZoneRoom, org.celerygw.core.gen.peers.ZoneRoom.Builder, org.celerygw.core.gen.peers.ZoneRoomOrBuilder>(
+                zoneRoom_,
+                ((bitField0_ & 0x00020000) != 0),
+                getParentForChildren(),
+                isClean());
+        zoneRoom_ = null;
+      }
+      return zoneRoomBuilder_;
+    }
+
+    private org.celerygw.core.gen.peers.QuotaRequest quotaRequest_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.QuotaRequest, org.celerygw.core.gen.peers.QuotaRequest.Builder, org.celerygw.core.gen.peers.QuotaRequestOrBuilder> quotaRequestBuilder_;
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     * @return Whether the quotaRequest field is set.
+     */
+    public boolean hasQuotaRequest() {
+      return ((bitField0_ & 0x00040000) != 0);
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     * @return The quotaRequest.
+     */
+    public org.celerygw.core.gen.peers.QuotaRequest getQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        return quotaRequest_ == null ? org.celerygw.core.gen.peers.QuotaRequest.getDefaultInstance() : quotaRequest_;
+      } else {
+        return quotaRequestBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public Builder setQuotaRequest(org.celerygw.core.gen.peers.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        quotaRequest_ = value;
+      } else {
+        quotaRequestBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public Builder setQuotaRequest(
+        org.celerygw.core.gen.peers.QuotaRequest.Builder builderForValue) {
+      if (quotaRequestBuilder_ == null) {
+        quotaRequest_ = builderForValue.build();
+      } else {
+        quotaRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public Builder mergeQuotaRequest(org.celerygw.core.gen.peers.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0) &&
+          quotaRequest_ != null &&
+          quotaRequest_ != org.celerygw.core.gen.peers.QuotaRequest.getDefaultInstance()) {
+          getQuotaRequestBuilder().mergeFrom(value);
+        } else {
+          quotaRequest_ = value;
+        }
+      } else {
+        quotaRequestBuilder_.mergeFrom(value);
+      }
+      if (quotaRequest_ != null) {
+        bitField0_ |= 0x00040000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public Builder clearQuotaRequest() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      quotaRequest_ = null;
+      if (quotaRequestBuilder_ != null) {
+        quotaRequestBuilder_.dispose();
+        quotaRequestBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public org.celerygw.core.gen.peers.QuotaRequest.Builder getQuotaRequestBuilder() {
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return internalGetQuotaRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    public org.celerygw.core.gen.peers.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+      if (quotaRequestBuilder_ != null) {
+        return quotaRequestBuilder_.getMessageOrBuilder();
+      } else {
+        return quotaRequest_ == null ?
+            org.celerygw.core.gen.peers.QuotaRequest.getDefaultInstance() : quotaRequest_;
+      }
+    }
+    /**
+     * <pre>
+     * only in a datagram without host, as for permits
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.QuotaRequest, org.celerygw.core.gen.peers.QuotaRequest.Builder, org.celerygw.core.gen.peers.QuotaRequestOrBuilder> 
+        internalGetQuotaRequestFieldBuilder() {
+      if (quotaRequestBuilder_ == null) {
+        quotaRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.core.gen.peers.QuotaRequest, org.celerygw.core.gen.peers.QuotaRequest.Builder, org.celerygw.core.gen.peers.QuotaRequestOrBuilder>(
+                getQuotaRequest(),
+                getParentForChildren(),
+                isClean());
+        quotaRequest_ = null;
+      }
+      return quotaRequestBuilder_;
+    }
+
+    private org.celerygw.core.gen.peers.QuotaReply quotaReply_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.QuotaReply, org.celerygw.core.gen.peers.QuotaReply.Builder, org.celerygw.core.gen.peers.QuotaReplyOrBuilder> quotaReplyBuilder_;
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     * @return Whether the quotaReply field is set.
+     */
+    public boolean hasQuotaReply() {
+      return ((bitField0_ & 0x00080000) != 0);
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     * @return The quotaReply.
+     */
+    public org.celerygw.core.gen.peers.QuotaReply getQuotaReply() {
+      if (quotaReplyBuilder_ == null) {
+        return quotaReply_ == null ? org.celerygw.core.gen.peers.QuotaReply.getDefaultInstance() : quotaReply_;
+      } else {
+        return quotaReplyBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public Builder setQuotaReply(org.celerygw.core.gen.peers.QuotaReply value) {
+      if (quotaReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        quotaReply_ = value;
+      } else {
+        quotaReplyBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public Builder setQuotaReply(
+        org.celerygw.core.gen.peers.QuotaReply.Builder builderForValue) {
+      if (quotaReplyBuilder_ == null) {
+        quotaReply_ = builderForValue.build();
+      } else {
+        quotaReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public Builder mergeQuotaReply(org.celerygw.core.gen.peers.QuotaReply value) {
+      if (quotaReplyBuilder_ == null) {
+        if (((bitField0_ & 0x00080000) != 0) &&
+          quotaReply_ != null &&
+          quotaReply_ != org.celerygw.core.gen.peers.QuotaReply.getDefaultInstance()) {
+          getQuotaReplyBuilder().mergeFrom(value);
+        } else {
+          quotaReply_ = value;
+        }
+      } else {
+        quotaReplyBuilder_.mergeFrom(value);
+      }
+      if (quotaReply_ != null) {
+        bitField0_ |= 0x00080000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public Builder clearQuotaReply() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      quotaReply_ = null;
+      if (quotaReplyBuilder_ != null) {
+        quotaReplyBuilder_.dispose();
+        quotaReplyBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public org.celerygw.core.gen.peers.QuotaReply.Builder getQuotaReplyBuilder() {
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return internalGetQuotaReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    public org.celerygw.core.gen.peers.QuotaReplyOrBuilder getQuotaReplyOrBuilder() {
+      if (quotaReplyBuilder_ != null) {
+        return quotaReplyBuilder_.getMessageOrBuilder();
+      } else {
+        return quotaReply_ == null ?
+            org.celerygw.core.gen.peers.QuotaReply.getDefaultInstance() : quotaReply_;
+      }
+    }
+    /**
+     * <pre>
+     * the same
+     * </pre>
+     *
+     * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.celerygw.core.gen.peers.QuotaReply, org.celerygw.core.gen.peers.QuotaReply.Builder, org.celerygw.core.gen.peers.QuotaReplyOrBuilder> 
+        internalGetQuotaReplyFieldBuilder() {
+      if (quotaReplyBuilder_ == null) {
+        quotaReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.celerygw.core.gen.peers.QuotaReply, org.celerygw.core.gen.peers.QuotaReply.Builder, org.celerygw.core.gen.peers.QuotaReplyOrBuilder>(
+                getQuotaReply(),
+                getParentForChildren(),
+                isClean());
+        quotaReply_ = null;
+      }
+      return quotaReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Digest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/DigestOrBuilder.java
@@ -331,4 +331,146 @@
    * <code>.celerygw.peers.DigestPart continued = 16;</code>
    */
   org.celerygw.core.gen.peers.DigestPartOrBuilder getContinuedOrBuilder();
+
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  java.util.List<org.celerygw.core.gen.peers.CustomerWork> 
+      getCustomerWorkList();
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  org.celerygw.core.gen.peers.CustomerWork getCustomerWork(int index);
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  int getCustomerWorkCount();
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  java.util.List<? extends org.celerygw.core.gen.peers.CustomerWorkOrBuilder> 
+      getCustomerWorkOrBuilderList();
+  /**
+   * <pre>
+   * customers that compete for engines at this host
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.CustomerWork customer_work = 17;</code>
+   */
+  org.celerygw.core.gen.peers.CustomerWorkOrBuilder getCustomerWorkOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  java.util.List<org.celerygw.core.gen.peers.ZoneRoom> 
+      getZoneRoomList();
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  org.celerygw.core.gen.peers.ZoneRoom getZoneRoom(int index);
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  int getZoneRoomCount();
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  java.util.List<? extends org.celerygw.core.gen.peers.ZoneRoomOrBuilder> 
+      getZoneRoomOrBuilderList();
+  /**
+   * <pre>
+   * free room by zone as known to this host, for hosts of other zones
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.ZoneRoom zone_room = 18;</code>
+   */
+  org.celerygw.core.gen.peers.ZoneRoomOrBuilder getZoneRoomOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  boolean hasQuotaRequest();
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   * @return The quotaRequest.
+   */
+  org.celerygw.core.gen.peers.QuotaRequest getQuotaRequest();
+  /**
+   * <pre>
+   * only in a datagram without host, as for permits
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaRequest quota_request = 19;</code>
+   */
+  org.celerygw.core.gen.peers.QuotaRequestOrBuilder getQuotaRequestOrBuilder();
+
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   * @return Whether the quotaReply field is set.
+   */
+  boolean hasQuotaReply();
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   * @return The quotaReply.
+   */
+  org.celerygw.core.gen.peers.QuotaReply getQuotaReply();
+  /**
+   * <pre>
+   * the same
+   * </pre>
+   *
+   * <code>.celerygw.peers.QuotaReply quota_reply = 20;</code>
+   */
+  org.celerygw.core.gen.peers.QuotaReplyOrBuilder getQuotaReplyOrBuilder();
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -61,6 +61,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peers_PermitReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_QuotaRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_QuotaRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_QuotaReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_QuotaReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_CustomerWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_CustomerWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_ZoneRoom_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_ZoneRoom_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peers_Waiting_descriptor;
   static final 
@@ -96,7 +116,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013peers.proto\022\016celerygw.peers\032\013store.pro" +
-      "to\"\265\004\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
+      "to\"\375\005\n\006Digest\022\014\n\004host\030\001 \001(\t\022\026\n\016config_ve" +
       "rsion\030\002 \001(\003\022\025\n\rstore_answers\030\003 \001(\010\022\020\n\010st" +
       "ore_ms\030\004 \001(\005\022\017\n\007leaving\030\005 \001(\010\022)\n\005loads\030\006" +
       " \003(\0132\032.celerygw.peers.ServerLoad\022\014\n\004zone" +
@@ -108,7 +128,12 @@
       "itReply\022.\n\010suspects\030\r \003(\0132\034.celerygw.pee" +
       "rs.CrashSuspect\022\017\n\007cut_off\030\016 \001(\010\022\020\n\010sequ" +
       "ence\030\017 \001(\007\022-\n\tcontinued\030\020 \001(\0132\032.celerygw" +
-      ".peers.DigestPart\032G\n\014WaitingEntry\022\013\n\003key" +
+      ".peers.DigestPart\0223\n\rcustomer_work\030\021 \003(\013" +
+      "2\034.celerygw.peers.CustomerWork\022+\n\tzone_r" +
+      "oom\030\022 \003(\0132\030.celerygw.peers.ZoneRoom\0223\n\rq" +
+      "uota_request\030\023 \001(\0132\034.celerygw.peers.Quot" +
+      "aRequest\022/\n\013quota_reply\030\024 \001(\0132\032.celerygw" +
+      ".peers.QuotaReply\032G\n\014WaitingEntry\022\013\n\003key" +
       "\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.celerygw.peers.W" +
       "aiting:\0028\001\"\230\001\n\nDigestPart\022\014\n\004host\030\001 \001(\t\022" +
       "\020\n\010sequence\030\002 \001(\007\022)\n\005loads\030\003 \003(\0132\032.celer" +
@@ -124,24 +149,37 @@
       "\023\n\013limit_per_s\030\003 \001(\001\022\026\n\016returns_unused\030\004" +
       " \001(\010\"X\n\013PermitReply\022\n\n\002id\030\001 \001(\003\022,\n\006resul" +
       "t\030\002 \001(\0162\034.celerygw.peers.PermitResult\022\017\n" +
-      "\007wait_ms\030\003 \001(\005\",\n\007Waiting\022\021\n\tunder_way\030\001" +
-      " \001(\005\022\016\n\006others\030\002 \001(\005\"l\n\nServerLoad\022\016\n\006se" +
-      "rver\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010doubtfu" +
-      "l\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014limit_ag" +
-      "e_ms\030\005 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartition\030" +
-      "\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.store.Wr" +
-      "iteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celerygw.st" +
-      "ore.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.celery" +
-      "gw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\tH\000B\006" +
-      "\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001 \001(\013" +
-      "2\032.celerygw.store.WriteReplyH\000\022)\n\004rows\030\002" +
-      " \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n\004fee" +
-      "d\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B\007\n\005r" +
-      "eply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n\004row" +
-      "s\030\002 \003(\0132\030.celerygw.store.TableRow*5\n\014Per" +
-      "mitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020\001\022\t\n" +
-      "\005LATER\020\002B\037\n\033org.celerygw.core.gen.peersP" +
-      "\001b\006proto3"
+      "\007wait_ms\030\003 \001(\005\"\255\001\n\014QuotaRequest\022\n\n\002id\030\001 " +
+      "\001(\003\022\020\n\010customer\030\002 \001(\t\022\023\n\013used_tokens\030\003 \001" +
+      "(\001\022\025\n\rwanted_tokens\030\004 \001(\001\022\027\n\017returned_to" +
+      "kens\030\005 \001(\001\022\023\n\013limit_per_s\030\006 \001(\001\022\r\n\005burst" +
+      "\030\007 \001(\001\022\026\n\016config_version\030\010 \001(\003\"\211\001\n\nQuota" +
+      "Reply\022\n\n\002id\030\001 \001(\003\022\025\n\rkeeps_account\030\002 \001(\010" +
+      "\022\026\n\016granted_tokens\030\003 \001(\001\022\023\n\013validity_ms\030" +
+      "\004 \001(\005\022\026\n\016retry_after_ms\030\005 \001(\005\022\023\n\013constra" +
+      "ined\030\006 \001(\010\"1\n\014CustomerWork\022\020\n\010customer\030\001" +
+      " \001(\007\022\017\n\007work_ms\030\002 \001(\002\"^\n\010ZoneRoom\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\022\n\nfree_slots\030\003" +
+      " \001(\005\022\017\n\007waiting\030\004 \001(\005\022\016\n\006age_ms\030\005 \001(\005\",\n" +
+      "\007Waiting\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 " +
+      "\001(\005\"\250\001\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin" +
+      "_flight\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit" +
+      "_per_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\022\016\n\006to" +
+      "kens\030\006 \001(\003\022\022\n\nservice_ms\030\007 \001(\002\022\026\n\016servic" +
+      "e_age_ms\030\010 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartit" +
+      "ion\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.stor" +
+      "e.WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celeryg" +
+      "w.store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.ce" +
+      "lerygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\t" +
+      "H\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001" +
+      " \001(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004ro" +
+      "ws\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n" +
+      "\004feed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B" +
+      "\007\n\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n" +
+      "\004rows\030\002 \003(\0132\030.celerygw.store.TableRow*5\n" +
+      "\014PermitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020" +
+      "\001\022\t\n\005LATER\020\002B\037\n\033org.celerygw.core.gen.pe" +
+      "ersP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -153,7 +191,7 @@
     internal_static_celerygw_peers_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Digest_descriptor,
-        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", "CutOff", "Sequence", "Continued", });
+        new java.lang.String[] { "Host", "ConfigVersion", "StoreAnswers", "StoreMs", "Leaving", "Loads", "Zone", "Waiting", "Started", "GrantsPermits", "PermitRequest", "PermitReply", "Suspects", "CutOff", "Sequence", "Continued", "CustomerWork", "ZoneRoom", "QuotaRequest", "QuotaReply", });
     internal_static_celerygw_peers_Digest_WaitingEntry_descriptor =
       internal_static_celerygw_peers_Digest_descriptor.getNestedType(0);
     internal_static_celerygw_peers_Digest_WaitingEntry_fieldAccessorTable = new
@@ -190,32 +228,56 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_PermitReply_descriptor,
         new java.lang.String[] { "Id", "Result", "WaitMs", });
-    internal_static_celerygw_peers_Waiting_descriptor =
+    internal_static_celerygw_peers_QuotaRequest_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_celerygw_peers_QuotaRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_QuotaRequest_descriptor,
+        new java.lang.String[] { "Id", "Customer", "UsedTokens", "WantedTokens", "ReturnedTokens", "LimitPerS", "Burst", "ConfigVersion", });
+    internal_static_celerygw_peers_QuotaReply_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_celerygw_peers_QuotaReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_QuotaReply_descriptor,
+        new java.lang.String[] { "Id", "KeepsAccount", "GrantedTokens", "ValidityMs", "RetryAfterMs", "Constrained", });
+    internal_static_celerygw_peers_CustomerWork_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_celerygw_peers_CustomerWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_CustomerWork_descriptor,
+        new java.lang.String[] { "Customer", "WorkMs", });
+    internal_static_celerygw_peers_ZoneRoom_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_celerygw_peers_ZoneRoom_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_ZoneRoom_descriptor,
+        new java.lang.String[] { "Service", "Zone", "FreeSlots", "Waiting", "AgeMs", });
+    internal_static_celerygw_peers_Waiting_descriptor =
+      getDescriptor().getMessageType(10);
     internal_static_celerygw_peers_Waiting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Waiting_descriptor,
         new java.lang.String[] { "UnderWay", "Others", });
     internal_static_celerygw_peers_ServerLoad_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(11);
     internal_static_celerygw_peers_ServerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_ServerLoad_descriptor,
-        new java.lang.String[] { "Server", "InFlight", "Doubtful", "LimitPerS", "LimitAgeMs", });
+        new java.lang.String[] { "Server", "InFlight", "Doubtful", "LimitPerS", "LimitAgeMs", "Tokens", "ServiceMs", "ServiceAgeMs", });
     internal_static_celerygw_peers_RelayedCall_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(12);
     internal_static_celerygw_peers_RelayedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedCall_descriptor,
         new java.lang.String[] { "Partition", "Write", "Read", "Scan", "Feed", "Call", });
     internal_static_celerygw_peers_RelayedReply_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(13);
     internal_static_celerygw_peers_RelayedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedReply_descriptor,
         new java.lang.String[] { "Written", "Rows", "Feed", "Reply", });
     internal_static_celerygw_peers_FeedRows_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(14);
     internal_static_celerygw_peers_FeedRows_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_FeedRows_descriptor,
--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoad.java
@@ -148,6 +148,51 @@
     return limitAgeMs_;
   }
 
+  public static final int TOKENS_FIELD_NUMBER = 6;
+  private long tokens_ = 0L;
+  /**
+   * <pre>
+   * engine memory that this host's requests can hold there at their end, in tokens
+   * </pre>
+   *
+   * <code>int64 tokens = 6;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public long getTokens() {
+    return tokens_;
+  }
+
+  public static final int SERVICE_MS_FIELD_NUMBER = 7;
+  private float serviceMs_ = 0F;
+  /**
+   * <pre>
+   * learned service time of the server for a unit of work; 0 if not known
+   * </pre>
+   *
+   * <code>float service_ms = 7;</code>
+   * @return The serviceMs.
+   */
+  @java.lang.Override
+  public float getServiceMs() {
+    return serviceMs_;
+  }
+
+  public static final int SERVICE_AGE_MS_FIELD_NUMBER = 8;
+  private int serviceAgeMs_ = 0;
+  /**
+   * <pre>
+   * age of the latest sample
+   * </pre>
+   *
+   * <code>int32 service_age_ms = 8;</code>
+   * @return The serviceAgeMs.
+   */
+  @java.lang.Override
+  public int getServiceAgeMs() {
+    return serviceAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -177,6 +222,15 @@
     if (limitAgeMs_ != 0) {
       output.writeInt32(5, limitAgeMs_);
     }
+    if (tokens_ != 0L) {
+      output.writeInt64(6, tokens_);
+    }
+    if (java.lang.Float.floatToRawIntBits(serviceMs_) != 0) {
+      output.writeFloat(7, serviceMs_);
+    }
+    if (serviceAgeMs_ != 0) {
+      output.writeInt32(8, serviceAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -205,6 +259,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(5, limitAgeMs_);
     }
+    if (tokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, tokens_);
+    }
+    if (java.lang.Float.floatToRawIntBits(serviceMs_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(7, serviceMs_);
+    }
+    if (serviceAgeMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(8, serviceAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -231,6 +297,13 @@
             other.getLimitPerS())) return false;
     if (getLimitAgeMs()
         != other.getLimitAgeMs()) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
+    if (java.lang.Float.floatToIntBits(getServiceMs())
+        != java.lang.Float.floatToIntBits(
+            other.getServiceMs())) return false;
+    if (getServiceAgeMs()
+        != other.getServiceAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -254,6 +327,14 @@
         java.lang.Double.doubleToLongBits(getLimitPerS()));
     hash = (37 * hash) + LIMIT_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getLimitAgeMs();
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTokens());
+    hash = (37 * hash) + SERVICE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getServiceMs());
+    hash = (37 * hash) + SERVICE_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getServiceAgeMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -390,6 +471,9 @@
       doubtful_ = false;
       limitPerS_ = 0D;
       limitAgeMs_ = 0;
+      tokens_ = 0L;
+      serviceMs_ = 0F;
+      serviceAgeMs_ = 0;
       return this;
     }
 
@@ -438,6 +522,15 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.limitAgeMs_ = limitAgeMs_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.tokens_ = tokens_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.serviceMs_ = serviceMs_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.serviceAgeMs_ = serviceAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -469,6 +562,15 @@
       if (other.getLimitAgeMs() != 0) {
         setLimitAgeMs(other.getLimitAgeMs());
       }
+      if (other.getTokens() != 0L) {
+        setTokens(other.getTokens());
+      }
+      if (java.lang.Float.floatToRawIntBits(other.getServiceMs()) != 0) {
+        setServiceMs(other.getServiceMs());
+      }
+      if (other.getServiceAgeMs() != 0) {
+        setServiceAgeMs(other.getServiceAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -520,6 +622,21 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              tokens_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 61: {
+              serviceMs_ = input.readFloat();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 61
+            case 64: {
+              serviceAgeMs_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -785,6 +902,138 @@
       return this;
     }
 
+    private long tokens_ ;
+    /**
+     * <pre>
+     * engine memory that this host's requests can hold there at their end, in tokens
+     * </pre>
+     *
+     * <code>int64 tokens = 6;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+    /**
+     * <pre>
+     * engine memory that this host's requests can hold there at their end, in tokens
+     * </pre>
+     *
+     * <code>int64 tokens = 6;</code>
+     * @param value The tokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokens(long value) {
+
+      tokens_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * engine memory that this host's requests can hold there at their end, in tokens
+     * </pre>
+     *
+     * <code>int64 tokens = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokens() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      tokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private float serviceMs_ ;
+    /**
+     * <pre>
+     * learned service time of the server for a unit of work; 0 if not known
+     * </pre>
+     *
+     * <code>float service_ms = 7;</code>
+     * @return The serviceMs.
+     */
+    @java.lang.Override
+    public float getServiceMs() {
+      return serviceMs_;
+    }
+    /**
+     * <pre>
+     * learned service time of the server for a unit of work; 0 if not known
+     * </pre>
+     *
+     * <code>float service_ms = 7;</code>
+     * @param value The serviceMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceMs(float value) {
+
+      serviceMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * learned service time of the server for a unit of work; 0 if not known
+     * </pre>
+     *
+     * <code>float service_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      serviceMs_ = 0F;
+      onChanged();
+      return this;
+    }
+
+    private int serviceAgeMs_ ;
+    /**
+     * <pre>
+     * age of the latest sample
+     * </pre>
+     *
+     * <code>int32 service_age_ms = 8;</code>
+     * @return The serviceAgeMs.
+     */
+    @java.lang.Override
+    public int getServiceAgeMs() {
+      return serviceAgeMs_;
+    }
+    /**
+     * <pre>
+     * age of the latest sample
+     * </pre>
+     *
+     * <code>int32 service_age_ms = 8;</code>
+     * @param value The serviceAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceAgeMs(int value) {
+
+      serviceAgeMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * age of the latest sample
+     * </pre>
+     *
+     * <code>int32 service_age_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      serviceAgeMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.ServerLoad)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/ServerLoadOrBuilder.java
@@ -61,4 +61,34 @@
    * @return The limitAgeMs.
    */
   int getLimitAgeMs();
+
+  /**
+   * <pre>
+   * engine memory that this host's requests can hold there at their end, in tokens
+   * </pre>
+   *
+   * <code>int64 tokens = 6;</code>
+   * @return The tokens.
+   */
+  long getTokens();
+
+  /**
+   * <pre>
+   * learned service time of the server for a unit of work; 0 if not known
+   * </pre>
+   *
+   * <code>float service_ms = 7;</code>
+   * @return The serviceMs.
+   */
+  float getServiceMs();
+
+  /**
+   * <pre>
+   * age of the latest sample
+   * </pre>
+   *
+   * <code>int32 service_age_ms = 8;</code>
+   * @return The serviceAgeMs.
+   */
+  int getServiceAgeMs();
 }
--- a/core/src/main/java/org/celerygw/core/gen/turns/TurnRow.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/TurnRow.java
@@ -37,6 +37,7 @@
     input_ = com.google.protobuf.ByteString.EMPTY;
     output_ = com.google.protobuf.ByteString.EMPTY;
     server_ = "";
+    customer_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -227,6 +228,53 @@
     return endedMs_;
   }
 
+  public static final int CUSTOMER_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object customer_ = "";
+  /**
+   * <pre>
+   * name of the customer that the turn belongs to; empty if it had none
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The customer.
+   */
+  @java.lang.Override
+  public java.lang.String getCustomer() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      customer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * name of the customer that the turn belongs to; empty if it had none
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The bytes for customer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCustomerBytes() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      customer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -259,6 +307,9 @@
     if (endedMs_ != 0L) {
       output.writeInt64(6, endedMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, customer_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -289,6 +340,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, endedMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, customer_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -316,6 +370,8 @@
         .equals(other.getServer())) return false;
     if (getEndedMs()
         != other.getEndedMs()) return false;
+    if (!getCustomer()
+        .equals(other.getCustomer())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -340,6 +396,8 @@
     hash = (37 * hash) + ENDED_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndedMs());
+    hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+    hash = (53 * hash) + getCustomer().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -481,6 +539,7 @@
       output_ = com.google.protobuf.ByteString.EMPTY;
       server_ = "";
       endedMs_ = 0L;
+      customer_ = "";
       return this;
     }
 
@@ -532,6 +591,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.endedMs_ = endedMs_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.customer_ = customer_;
+      }
     }
 
     @java.lang.Override
@@ -570,6 +632,11 @@
       if (other.getEndedMs() != 0L) {
         setEndedMs(other.getEndedMs());
       }
+      if (!other.getCustomer().isEmpty()) {
+        customer_ = other.customer_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -626,6 +693,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              customer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1007,6 +1079,98 @@
       return this;
     }
 
+    private java.lang.Object customer_ = "";
+    /**
+     * <pre>
+     * name of the customer that the turn belongs to; empty if it had none
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return The customer.
+     */
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * name of the customer that the turn belongs to; empty if it had none
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return The bytes for customer.
+     */
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * name of the customer that the turn belongs to; empty if it had none
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @param value The customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      customer_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * name of the customer that the turn belongs to; empty if it had none
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomer() {
+      customer_ = getDefaultInstance().getCustomer();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * name of the customer that the turn belongs to; empty if it had none
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @param value The bytes for customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      customer_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.turns.TurnRow)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/turns/TurnRowOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/TurnRowOrBuilder.java
@@ -83,4 +83,24 @@
    * @return The endedMs.
    */
   long getEndedMs();
+
+  /**
+   * <pre>
+   * name of the customer that the turn belongs to; empty if it had none
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The customer.
+   */
+  java.lang.String getCustomer();
+  /**
+   * <pre>
+   * name of the customer that the turn belongs to; empty if it had none
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The bytes for customer.
+   */
+  com.google.protobuf.ByteString
+      getCustomerBytes();
 }
--- a/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
@@ -63,11 +63,11 @@
       "(\010\"F\n\010OpenTurn\022\014\n\004turn\030\001 \001(\t\022\022\n\nmax_toke" +
       "ns\030\002 \001(\003\022\030\n\020software_version\030\003 \001(\t\"8\n\rSt" +
       "reamVersion\022\030\n\020software_version\030\001 \001(\t\022\r\n" +
-      "\005turns\030\002 \003(\t\"w\n\007TurnRow\022\026\n\016parent_progra" +
-      "m\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030\003 " +
-      "\001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n\010e" +
-      "nded_ms\030\006 \001(\003B\037\n\033org.celerygw.core.gen.t" +
-      "urnsP\001b\006proto3"
+      "\005turns\030\002 \003(\t\"\211\001\n\007TurnRow\022\026\n\016parent_progr" +
+      "am\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030\003" +
+      " \001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n\010" +
+      "ended_ms\030\006 \001(\003\022\020\n\010customer\030\007 \001(\tB\037\n\033org." +
+      "celerygw.core.gen.turnsP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -96,7 +96,7 @@
     internal_static_celerygw_turns_TurnRow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_TurnRow_descriptor,
-        new java.lang.String[] { "ParentProgram", "ParentTurn", "Input", "Output", "Server", "EndedMs", });
+        new java.lang.String[] { "ParentProgram", "ParentTurn", "Input", "Output", "Server", "EndedMs", "Customer", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/core/src/main/java/org/celerygw/core/routes/Route.java
+++ b/core/src/main/java/org/celerygw/core/routes/Route.java
@@ -18,6 +18,7 @@
  * @param resumable whether a broken stream may be resumed at another server
  * @param storesTurns whether turns are stored and the history of a turn's chain is put before its input
  * @param retentionMs how long stored turns are retained after their end, in ms
+ * @param open whether requests need no key, even if the configuration names customers
  */
 public record Route(
         String name,
@@ -32,7 +33,8 @@
         boolean sticky,
         boolean resumable,
         boolean storesTurns,
-        long retentionMs) {
+        long retentionMs,
+        boolean open) {
     /** Copies the list of targets. */
     public Route {
         targets = List.copyOf(targets);
--- a/core/src/main/java/org/celerygw/core/routes/RouteTable.java
+++ b/core/src/main/java/org/celerygw/core/routes/RouteTable.java
@@ -14,9 +14,10 @@
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services;
     private final Limits limits;
+    private final CustomerDirectory customers;
 
     /**
-     * Creates a table.
+     * Creates a table without customers.
      *
      * @param version the configuration's version
      * @param routes its routes; the last one applies if several have the same host and prefix
@@ -24,9 +25,24 @@
      * @param limits the limits for client connections and requests
      */
     public RouteTable(long version, List<Route> routes, List<Service> services, Limits limits) {
+        this(version, routes, services, limits, CustomerDirectory.EMPTY);
+    }
+
+    /**
+     * Creates a table.
+     *
+     * @param version the configuration's version
+     * @param routes its routes; the last one applies if several have the same host and prefix
+     * @param services its services; the last one applies if several have the same name
+     * @param limits the limits for client connections and requests
+     * @param customers the customers with their keys
+     */
+    public RouteTable(
+            long version, List<Route> routes, List<Service> services, Limits limits, CustomerDirectory customers) {
         this.version = version;
         this.services = services.stream().collect(Collectors.toMap(Service::name, Function.identity(), (a, b) -> b));
         this.limits = limits;
+        this.customers = customers;
         routes.forEach(r ->
                 routesByHost.computeIfAbsent(r.host(), h -> new HashMap<>()).put(r.prefix(), r));
     }
@@ -59,6 +75,15 @@
         return limits;
     }
 
+    /**
+     * Returns the customers.
+     *
+     * @return the customers with their keys
+     */
+    public CustomerDirectory customers() {
+        return customers;
+    }
+
     /**
      * Returns the number of routes.
      *
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineRequest.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineRequest.java
@@ -1,6 +1,8 @@
 package org.celerygw.core.scheduling;
 
+import java.util.Optional;
 import java.util.Set;
+import org.celerygw.core.id.CustomerId;
 
 /**
  * A request to an engine, as far as scheduling is concerned.
@@ -15,6 +17,8 @@
  * @param rank the urgency rank of its route; 0 is the most urgent
  * @param latestStartMs the latest time at which it can start and still be answered by its deadline, in ms
  * @param programDeadlineMs when its program should be finished, in ms; {@link Long#MAX_VALUE} if unknown
+ * @param customer the customer that it belongs to; empty for none
+ * @param tokens the engine memory that it can hold at its end, in tokens; 0 if not known
  */
 public record EngineRequest(
         String service,
@@ -26,4 +30,6 @@
         boolean continuesTurn,
         int rank,
         long latestStartMs,
-        long programDeadlineMs) {}
+        long programDeadlineMs,
+        Optional<CustomerId> customer,
+        long tokens) {}
--- a/core/src/test/java/org/celerygw/core/routes/RouteTableTest.java
+++ b/core/src/test/java/org/celerygw/core/routes/RouteTableTest.java
@@ -14,7 +14,7 @@
                     route("short", "a.example", "/x/"),
                     route("long", "a.example", "/x/y/"),
                     route("b", "b.example", "/")),
-            List.of(new Service("s", 10, false, 0, 1)),
+            List.of(new Service("s", 10, false, 0, 1, 0)),
             new RouteTable.Limits(1_000, 1_000, 1_000, 1_000));
 
     @Test
@@ -47,7 +47,8 @@
                 false,
                 false,
                 false,
-                0);
+                0,
+                false);
         assertEquals(route.selectService(0.0), "a");
         assertEquals(route.selectService(0.89), "a");
         assertEquals(route.selectService(0.91), "b");
@@ -63,7 +64,7 @@
     }
 
     private static Route routeOfKind(RouteKind kind, boolean resumable) {
-        return new Route("r", "h", "/", kind, List.of(), 1, 1, 0, 1, false, resumable, false, 0);
+        return new Route("r", "h", "/", kind, List.of(), 1, 1, 0, 1, false, resumable, false, 0, false);
     }
 
     private static Route route(String name, String host, String prefix) {
@@ -80,6 +81,7 @@
                 false,
                 false,
                 false,
-                0);
+                0,
+                false);
     }
 }
--- a/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/EngineQueueTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.celerygw.core.servers.BackendServer;
@@ -74,7 +75,9 @@
                 continuesTurn,
                 rank,
                 NOW_MS + MAX_WAIT_MS,
-                NOW_MS + programLeftMs);
+                NOW_MS + programLeftMs,
+                Optional.empty(),
+                0);
         Waiter waiter = new Waiter(program);
         queue.offer(request, waiter, NOW_MS);
         return waiter;
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -170,8 +171,18 @@
         private EngineRequest request(Program program) {
             long latestStartMs = (long) (nowMs + REQUEST_TIMEOUT_MS - SERVICE_MS);
             return new EngineRequest(
-                    "e", "", program.id, program.id, "", Set.of(), false, program.rank, latestStartMs, (long)
-                            program.deadlineMs);
+                    "e",
+                    "",
+                    program.id,
+                    program.id,
+                    "",
+                    Set.of(),
+                    false,
+                    program.rank,
+                    latestStartMs,
+                    (long) program.deadlineMs,
+                    Optional.empty(),
+                    0);
         }
 
         /** One turn that is offered to the queue. */
--- a/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
@@ -15,6 +15,8 @@
  * @param stopGraceMs the maximum duration of a graceful stop, in ms
  * @param partitions the number of store partitions over which programs are distributed; must never change
  * @param maxRowBytes the maximum size of a row's value, in bytes
+ * @param memoryMb how much memory the process may use, in MB
+ * @param customerBounds how closely the keys and quotas of customers are enforced
  */
 public record GatewaySettings(
         String host,
@@ -26,7 +28,9 @@
         List<Address> seeds,
         long stopGraceMs,
         int partitions,
-        int maxRowBytes) {
+        int maxRowBytes,
+        int memoryMb,
+        CustomerBounds customerBounds) {
     /** Makes a defensive copy of the seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
@@ -39,4 +43,20 @@
      * @param port the port; 0 for any free one when listening
      */
     public record Address(String ip, int port) {}
+
+    /**
+     * How closely the keys and quotas of customers are enforced.
+     *
+     * @param quotaWindowMs the sliding window in which a quota is checked, in ms
+     * @param quotaOverage the share by which a quota may be exceeded within a window
+     * @param quotaSlack the number of requests by which it may be exceeded besides
+     * @param revokeMs how long a host may go on without a confirmed configuration, in ms
+     * @param strictRevocation whether a host that cannot confirm its configuration for that long refuses requests with a
+     *     key
+     */
+    public record CustomerBounds(
+            long quotaWindowMs, double quotaOverage, double quotaSlack, long revokeMs, boolean strictRevocation) {
+        /** The bounds of a deployment that names none. */
+        public static final CustomerBounds DEFAULT = new CustomerBounds(5_000, 0.1, 20, 5_000, false);
+    }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -1,5 +1,6 @@
 package org.celerygw.gateway.forward;
 
+import java.util.Optional;
 import java.util.Set;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.EngineRequest;
@@ -33,7 +34,9 @@
                         || !metadata.previousTurn().isEmpty(),
                 exchange.route.rank(),
                 exchange.latestSendMs(),
-                programDeadlineMs);
+                programDeadlineMs,
+                Optional.empty(),
+                0);
         exchange.forwarder.engineQueue.offer(request, this, sinceMs);
         exchange.forwarder.queueChanged();
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
@@ -1,5 +1,7 @@
 package org.celerygw.gateway.forward;
 
+import java.util.List;
+
 /**
  * Metadata of a client's request, decoded from its header section.
  *
@@ -12,10 +14,13 @@
  *     that time has passed, negative when not specified
  * @param previousTurn the id of the turn that the request continues; empty for none
  * @param budgetTokens the token budget for the output of all turns of the program; negative when not specified
+ * @param promptTokens the number of tokens of the request's prompt, its history included; 0 when not specified
+ * @param promptParts the parts of the prompt in their order, which other requests may share; empty when not specified
  * @param maxTokens the maximum number of tokens that this request generates; 0 when not specified
  * @param lastEventId the id of the last event that the client received; negative to stream from the first event
  * @param resumedAttempt the id of the client attempt that brought the first event of the stream to resume; empty when not
  *     specified
+ * @param credentials what the client presents to prove for which customer it acts
  */
 public record RequestMetadata(
         String id,
@@ -26,9 +31,17 @@
         long programTimeoutMs,
         String previousTurn,
         long budgetTokens,
+        long promptTokens,
+        List<PromptPart> promptParts,
         long maxTokens,
         long lastEventId,
-        String resumedAttempt) {
+        String resumedAttempt,
+        Credentials credentials) {
+    /** Copies the list of parts. */
+    public RequestMetadata {
+        promptParts = List.copyOf(promptParts);
+    }
+
     /**
      * Returns whether the client resumes a stream of which it has received events.
      *
@@ -46,4 +59,12 @@
     public boolean hasBudget() {
         return !program.isEmpty() && budgetTokens >= 0;
     }
+
+    /**
+     * A part of a prompt, which an engine may still have in its cache.
+     *
+     * @param id the part's id
+     * @param tokens its length, in tokens
+     */
+    public record PromptPart(String id, int tokens) {}
 }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -139,7 +139,7 @@
                         route("/resume/", RouteKind.STREAMING, 2_000, true, false),
                         route("/stream/", RouteKind.STREAMING, 2_000, false, false),
                         route("/turn/", RouteKind.STREAMING, 2_000, false, true)),
-                List.of(new Service("s", 10, true, ENGINE_SLOTS, 3)),
+                List.of(new Service("s", 10, true, ENGINE_SLOTS, 3, 0)),
                 new RouteTable.Limits(16_000, 100_000, 1_000, 10_000));
     }
 
@@ -157,7 +157,8 @@
                 false,
                 resumable,
                 storesTurns,
-                60_000);
+                60_000,
+                false);
     }
 
     ScriptedServer startServer(ScriptedServer.Script script) throws IOException, InterruptedException {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
 import org.celerygw.gateway.net.ClientRequest;
 
 /** A dialect with short header names, so that the gateway's tests do not depend on a platform. */
@@ -18,9 +20,12 @@
                 Long.parseLong(headers.get("program-left-ms", "-1")),
                 headers.get("previous", ""),
                 Long.parseLong(headers.get("budget", "-1")),
+                Long.parseLong(headers.get("prompt", "0")),
+                List.of(),
                 Long.parseLong(headers.get("max", "0")),
                 Long.parseLong(headers.get("last-event", "-1")),
-                headers.get("resumes", ""));
+                headers.get("resumes", ""),
+                new Credentials(Optional.ofNullable(headers.get("key"))));
     }
 
     @Override
