Place requests only on engines whose memory suffices

Cause: an engine crashes if the requests that it holds exceed its memory, but a host looked only at its slots. Change: each request to a service of known memory counts its prompt (named by the client, or else estimated from the bytes of history and input) and its longest output. Digests carry each host's tokens by server; the estimator sums and scales them as it does requests, and a margin of 1/8 of the same group's and 1/2 of sampled tokens is kept free. Requests of hosts that tell no size count memory / slots each. A host that hears of no peer any more keeps to memory / hosts. A request larger than an engine is refused with 503 and no Retry-After: 503 promises that it has not run, 413 does not. An engine is reserved for a request that waits for memory, so that small ones do not pass it. The arguments of the selection are one record, Placement. Without memory sizes nothing is counted or told.

--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.ServerLoad;
+import org.celerygw.core.servers.PeersLoad;
 import org.celerygw.core.servers.RequestLimit;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.TrackedServer;
@@ -32,6 +33,15 @@
     private static final int MIN_FAILURE_REPORTS = 2;
     private static final int MAX_LIMITS_TOLD = 600;
     private static final int LIVENESS_ROUNDS = 2;
+    /**
+     * The part of the peers' engine memory that is kept free: a host of the same group may have started a request in the 15
+     * ms until its digest is sent, and the load of other groups is scaled up from a sample.
+     */
+    private static final double GROUP_MARGIN = 0.125;
+
+    private static final double SAMPLE_MARGIN = 0.5;
+    /** A peer of which nothing was heard for this long, in ms, is taken for dead rather than cut off. */
+    private static final long MAX_SILENCE_MS = 30_000;
 
     private final int fanout;
     private final long intervalMs;
@@ -77,6 +87,7 @@
         ServerLoad.Builder load = ServerLoad.newBuilder()
                 .setServer(server.entry().id())
                 .setInFlight(server.inFlight())
+                .setTokens(server.ownTokens())
                 .setDoubtful(server.hasHighLocalFailureRate(nowMs));
         if (withLimit) {
             load.setLimitPerS(server.limit().perS(nowMs))
@@ -118,15 +129,19 @@
                 .toList();
         long sampled = recent.stream().filter(received -> !received.sameGroup()).count();
         sampleScale = sampled == 0 ? 1 : countLiveOtherHosts(digests, nowMs) / (double) sampled;
-        Map<String, Double> inFlightByServer = new HashMap<>();
+        Map<String, PeersLoad> loadsByServer = new HashMap<>();
         Map<String, Integer> failureReportsByServer = new HashMap<>();
         recent.forEach(received -> received.digest().getLoadsList().forEach(load -> {
-            inFlightByServer.merge(load.getServer(), scale(received.sameGroup()) * load.getInFlight(), Double::sum);
+            loadsByServer.merge(
+                    load.getServer(),
+                    PeersLoad.NONE.plus(scale(received.sameGroup()), peersLoad(load, received.sameGroup())),
+                    (one, other) -> one.plus(1, other));
             failureReportsByServer.merge(load.getServer(), load.getDoubtful() ? 1 : 0, Integer::sum);
         }));
+        int silent = recent.isEmpty() ? countSilent(digests, nowMs) : 0;
         for (TrackedServer server : servers.all()) {
             String serverId = server.entry().id();
-            server.setPeersInFlight(inFlightByServer.getOrDefault(serverId, 0.0));
+            server.setPeersLoad(loadsByServer.getOrDefault(serverId, PeersLoad.NONE), silent);
             server.setPeersReportFailures(failureReportsByServer.getOrDefault(serverId, 0) >= MIN_FAILURE_REPORTS);
         }
     }
@@ -143,9 +158,9 @@
     public void applyChange(@Nullable Digest previous, Digest current, boolean sameGroup, ServerList servers) {
         double scale = scale(sameGroup);
         if (previous != null) {
-            previous.getLoadsList().forEach(load -> addPeersInFlight(servers, load, -scale));
+            previous.getLoadsList().forEach(load -> addPeersLoad(servers, load, -scale, sameGroup));
         }
-        current.getLoadsList().forEach(load -> addPeersInFlight(servers, load, scale));
+        current.getLoadsList().forEach(load -> addPeersLoad(servers, load, scale, sameGroup));
     }
 
     /** Returns for how many hosts the digest of one stands. */
@@ -153,13 +168,25 @@
         return sameGroup ? 1 : sampleScale;
     }
 
-    private static void addPeersInFlight(ServerList servers, ServerLoad load, double factor) {
+    private static PeersLoad peersLoad(ServerLoad load, boolean sameGroup) {
+        double margin = sameGroup ? GROUP_MARGIN : SAMPLE_MARGIN;
+        int unsized = load.getTokens() == 0 ? load.getInFlight() : 0;
+        return new PeersLoad(load.getInFlight(), load.getTokens(), margin * load.getTokens(), unsized);
+    }
+
+    private static void addPeersLoad(ServerList servers, ServerLoad load, double factor, boolean sameGroup) {
         TrackedServer server = servers.byId(load.getServer());
         if (server != null) {
-            server.addPeersInFlight(factor * load.getInFlight());
+            server.addPeersLoad(factor, peersLoad(load, sameGroup));
         }
     }
 
+    private static int countSilent(Collection<ReceivedDigest> digests, long nowMs) {
+        return (int) digests.stream()
+                .filter(received -> nowMs - received.receivedAtMs() < MAX_SILENCE_MS)
+                .count();
+    }
+
     /**
      * Counts the hosts of other groups that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers;
      * the others are considered down.
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -6,13 +6,16 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import org.celerygw.core.servers.Placement;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
 import org.celerygw.core.servers.TrackedServer;
@@ -131,13 +134,17 @@
             refuseWithoutServer(request, waiter);
             return;
         }
+        if (selector.exceedsMemory(request.service(), request.tokens())) {
+            waiter.refuse("larger than the memory of an engine: " + request.tokens() + " tokens", 0);
+            return;
+        }
         Entry entry = createEntry(request, waiter, nowMs);
         TreeSet<Entry> queue = waiting.computeIfAbsent(request.service(), service -> new TreeSet<>(ORDER));
         int ahead = queue.headSet(entry).size();
         // A new program does not pass those that wait at other hosts.
         boolean mayPassPeers =
                 entry.underWay || peersWaiting.apply(request.service()).equals(QueueLength.NONE);
-        if (ahead == 0 && mayPassPeers && tryStart(entry, nowMs)) {
+        if (ahead == 0 && mayPassPeers && tryStart(entry, Set.of(), nowMs)) {
             return;
         }
         long waitMs = expectedWaitMs(request.service(), ahead, nowMs);
@@ -269,10 +276,10 @@
                 .asInt();
     }
 
-    private boolean tryStart(Entry entry, long nowMs) {
+    private boolean tryStart(Entry entry, Set<String> reservedServers, long nowMs) {
         EngineRequest request = entry.request;
-        Optional<TrackedServer> server = selector.selectEngine(
-                engines(request), request.affinityKey(), request.previousServer(), request.triedServers(), nowMs);
+        Optional<TrackedServer> server =
+                selector.selectEngine(engines(request), placement(request).excluding(reservedServers), nowMs);
         server.ifPresent(selected -> {
             int program = hash(request.program());
             if (!request.program().isEmpty() && startedPrograms.put(program, true) == null) {
@@ -283,6 +290,10 @@
         return server.isPresent();
     }
 
+    private static Placement placement(EngineRequest request) {
+        return new Placement(request.affinityKey(), request.previousServer(), request.triedServers(), request.tokens());
+    }
+
     private void refuseExpired(String service, TreeSet<Entry> queue, long nowMs) {
         List<Entry> expired = queue.stream()
                 .filter(entry -> entry.request.latestStartMs() < nowMs)
@@ -321,16 +332,20 @@
 
     private void start(TreeSet<Entry> queue, boolean underWay, int count, long nowMs) {
         int left = count;
+        Set<String> reservedServers = new HashSet<>();
         for (Entry entry : List.copyOf(queue)) {
             if (left <= 0 || entry.underWay != underWay) {
                 continue;
             }
             queue.remove(entry);
             EngineRequest request = entry.request;
-            if (tryStart(entry, nowMs)) {
+            if (tryStart(entry, reservedServers, nowMs)) {
                 left--;
             } else if (hasUsableServer(request, nowMs)) {
                 queue.add(entry);
+                // Small requests that come later would otherwise take all memory before enough is free for this one.
+                selector.nextWithMemory(engines(request), placement(request).excluding(reservedServers), nowMs)
+                        .ifPresent(server -> reservedServers.add(server.entry().id()));
             } else {
                 refuseWithoutServer(request, entry.waiter);
             }
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -36,6 +37,7 @@
     private int groupIndex;
     private int groupCount = 1;
     private int firstAsked;
+    private ToIntFunction<String> memoryTokens = service -> 0;
 
     /**
      * Creates a selector for a host.
@@ -59,12 +61,69 @@
         groupCount = count;
     }
 
+    /**
+     * Sets the memory of the engines.
+     *
+     * @param byService returns how many tokens an engine of a service holds at once; 0 if not known
+     */
+    public void setMemory(ToIntFunction<String> byService) {
+        memoryTokens = byService;
+    }
+
+    /**
+     * Returns whether a request is larger than the memory of each engine, so that it can never run.
+     *
+     * @param service the service whose engines can run it
+     * @param tokens the memory that it can hold at its end, in tokens; 0 if not known
+     * @return false if either size is not known
+     */
+    public boolean exceedsMemory(String service, long tokens) {
+        int memory = memoryTokens.applyAsInt(service);
+        return memory > 0 && tokens > memory;
+    }
+
+    /**
+     * Returns the engine with a free slot that comes closest to having the memory for a request.
+     *
+     * @param servers the service's servers
+     * @param placement the request that no engine has the memory for
+     * @param nowMs the current time, in ms
+     * @return the engine; empty if the request can be placed, or if no engine has a free slot either
+     */
+    public Optional<TrackedServer> nextWithMemory(List<TrackedServer> servers, Placement placement, long nowMs) {
+        List<TrackedServer> withSlot = candidates(servers, placement.excludedIds(), nowMs).stream()
+                .filter(server -> slotRoom(server) > 0)
+                .toList();
+        return withSlot.stream().anyMatch(server -> hasMemory(server, placement.tokens()))
+                ? Optional.empty()
+                : withSlot.stream().min(Comparator.comparingLong(TrackedServer::tokensInFlight));
+    }
+
     /**
      * Selects an engine that has room. The engine that ran the previous turn may have up to twice the load limit of the
      * others, since it has the program's prompt cached. An engine that needs a permit which this host lacks is passed over
      * for this time, and a permit is asked for.
      *
      * @param servers the service's servers
+     * @param placement the request's size and preferences
+     * @param nowMs the current time, in ms
+     * @return the engine; empty if none is usable, or all are full or need a permit
+     */
+    public Optional<TrackedServer> selectEngine(List<TrackedServer> servers, Placement placement, long nowMs) {
+        List<TrackedServer> candidates = candidates(servers, placement.excludedIds(), nowMs);
+        double loadLimit = loadLimit(candidates, nowMs);
+        Optional<TrackedServer> first = selectEngine(servers, candidates, placement, loadLimit);
+        if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
+            return first;
+        }
+        onPermitNeeded.accept(first.get());
+        return selectOtherEngine(allowed(candidates, nowMs), placement, loadLimit);
+    }
+
+    /**
+     * Selects an engine that has room for a request of unknown size.
+     *
+     * @param servers the service's servers
      * @param affinityKey the key of requests that should go to the same engine, for example the program's id
      * @param previousServer the id of the server that ran the previous turn; empty if unknown
      * @param excludedIds ids of servers that must not be selected
@@ -77,14 +136,7 @@
             String previousServer,
             Set<String> excludedIds,
             long nowMs) {
-        List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
-        double loadLimit = loadLimit(candidates, nowMs);
-        Optional<TrackedServer> first = selectEngine(servers, candidates, affinityKey, previousServer, loadLimit);
-        if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
-            return first;
-        }
-        onPermitNeeded.accept(first.get());
-        return selectOtherEngine(allowed(candidates, nowMs), affinityKey, previousServer, loadLimit);
+        return selectEngine(servers, new Placement(affinityKey, previousServer, excludedIds, 0), nowMs);
     }
 
     /**
@@ -92,15 +144,17 @@
      * a group or a zone may nearly all have a limit, and the others then take the requests of all groups evenly.
      */
     private Optional<TrackedServer> selectOtherEngine(
-            List<TrackedServer> allowed, String affinityKey, String previousServer, double loadLimit) {
-        List<TrackedServer> withRoom =
-                allowed.stream().filter(server -> room(server) > 0).toList();
+            List<TrackedServer> allowed, Placement placement, double loadLimit) {
+        List<TrackedServer> withRoom = allowed.stream()
+                .filter(server -> hasRoom(server, placement.tokens()))
+                .toList();
         return withRoom.stream()
-                .filter(server -> server.entry().id().equals(previousServer) && server.load() < 2 * loadLimit)
+                .filter(server ->
+                        server.entry().id().equals(placement.previousServer()) && server.load() < 2 * loadLimit)
                 .findFirst()
                 .or(() -> withRoom.stream()
                         .filter(server -> server.load() < loadLimit)
-                        .max(Comparator.comparing(server -> rendezvousWeight(server, affinityKey))))
+                        .max(Comparator.comparing(server -> rendezvousWeight(server, placement.affinityKey()))))
                 .or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
     }
 
@@ -115,23 +169,20 @@
     }
 
     private Optional<TrackedServer> selectEngine(
-            List<TrackedServer> servers,
-            List<TrackedServer> candidates,
-            String affinityKey,
-            String previousServer,
-            double loadLimit) {
+            List<TrackedServer> servers, List<TrackedServer> candidates, Placement placement, double loadLimit) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
         Optional<TrackedServer> previous = candidates.stream()
-                .filter(server -> server.entry().id().equals(previousServer))
-                .filter(server -> server.load() < 2 * loadLimit && room(server) > 0)
+                .filter(server -> server.entry().id().equals(placement.previousServer()))
+                .filter(server -> server.load() < 2 * loadLimit && hasRoom(server, placement.tokens()))
                 .findFirst();
         if (previous.isPresent()) {
             return previous;
         }
         Set<TrackedServer> subset = subset(servers, candidates);
-        Comparator<TrackedServer> byWeight = Comparator.comparing(server -> rendezvousWeight(server, affinityKey));
+        Comparator<TrackedServer> byWeight =
+                Comparator.comparing(server -> rendezvousWeight(server, placement.affinityKey()));
         // Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error.
         Stream<TrackedServer> borrowed = candidates.stream()
                 .filter(server -> !subset.contains(server))
@@ -139,7 +190,7 @@
                 .limit(groupCount == 1 ? candidates.size() : BORROW_CHOICES)
                 .filter(this::mayBorrow);
         List<TrackedServer> withRoom = Stream.concat(subset.stream(), borrowed)
-                .filter(server -> room(server) > 0)
+                .filter(server -> hasRoom(server, placement.tokens()))
                 .toList();
         Optional<TrackedServer> preferred = withRoom.stream()
                 .filter(server -> server.load() < loadLimit)
@@ -197,7 +248,7 @@
         long sum = candidates.stream()
                 .filter(server -> groupCount == 1 || limited || subset.contains(server))
                 .filter(server -> !server.limit().isInForce(nowMs))
-                .mapToLong(server -> Math.max(0, room(server)))
+                .mapToLong(server -> Math.max(0, slotRoom(server)))
                 .sum();
         long ownPart =
                 groupCount > 1 && limited ? (sum * subset.size() + candidates.size() - 1) / candidates.size() : sum;
@@ -215,7 +266,7 @@
      */
     public int requestPermits(List<TrackedServer> servers, int waiting, long nowMs) {
         List<TrackedServer> limited = candidates(servers, Set.of(), nowMs).stream()
-                .filter(server -> server.limit().isInForce(nowMs) && room(server) > 0)
+                .filter(server -> server.limit().isInForce(nowMs) && slotRoom(server) > 0)
                 .toList();
         long expected = limited.stream()
                 .filter(server -> server.limit().expectsPermit(nowMs))
@@ -295,11 +346,19 @@
      * Returns how many more requests an engine can take: up to its slots, and a few more that fill a slot as soon as it
      * becomes free, before any host hears of that.
      */
-    private static int room(TrackedServer server) {
+    private static int slotRoom(TrackedServer server) {
         int slots = server.entry().slots();
         return slots <= 0 ? Integer.MAX_VALUE : slots + REQUESTS_AHEAD_OF_SLOTS - server.load();
     }
 
+    private boolean hasRoom(TrackedServer server, long tokens) {
+        return slotRoom(server) > 0 && hasMemory(server, tokens);
+    }
+
+    private boolean hasMemory(TrackedServer server, long tokens) {
+        return server.hasMemory(tokens, memoryTokens.applyAsInt(server.entry().service()));
+    }
+
     private boolean isInLocalZone(TrackedServer server) {
         return server.entry().zone().equals(zone);
     }
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -17,7 +17,9 @@
     private boolean hasLeft;
     private boolean leaving;
     private int inFlight;
-    private double peersInFlight;
+    private long ownTokens;
+    private PeersLoad peers = PeersLoad.NONE;
+    private int silentPeers;
     private int consecutiveFailures;
     private long pausedUntilMs;
     private double failureRate;
@@ -74,7 +76,7 @@
      * @return the number of requests; the peers' part is an estimate
      */
     public int load() {
-        return inFlight + (int) Math.round(Math.max(0, peersInFlight));
+        return inFlight + (int) Math.round(Math.max(0, peers.requests()));
     }
 
     /**
@@ -87,32 +89,95 @@
     }
 
     /**
-     * Sets the estimated number of requests in flight from the peers.
+     * Returns the memory that the requests in flight can hold at their end, from this host and its peers.
      *
-     * @param requests the number of requests
+     * @return the number of tokens; the peers' part is an estimate
      */
-    public void setPeersInFlight(double requests) {
-        peersInFlight = requests;
+    public long tokensInFlight() {
+        return ownTokens + Math.round(Math.max(0, peers.tokens()));
     }
 
     /**
-     * Changes the estimated number of requests in flight from the peers.
+     * Returns the memory that the requests in flight from this host can hold at their end.
      *
-     * @param requests the number of requests to add; negative to subtract
+     * @return the number of tokens
      */
-    public void addPeersInFlight(double requests) {
-        peersInFlight += requests;
+    public long ownTokens() {
+        return ownTokens;
     }
 
-    /** Records that a request was sent, which uses up a permit. */
+    /**
+     * Returns whether the server's memory suffices for one more request beside those in flight. A part of the peers' load
+     * is kept free, since it is an estimate. A host that hears of no peer any more keeps to its part of the memory, so that
+     * all hosts together do not exceed it, but it may always run one request.
+     *
+     * @param tokens the memory that the request can hold at its end, in tokens; 0 if not known
+     * @param memoryTokens the server's memory, in tokens; 0 if not known
+     * @return true if it fits, or if either size is not known
+     */
+    public boolean hasMemory(long tokens, int memoryTokens) {
+        if (tokens <= 0 || memoryTokens <= 0) {
+            return true;
+        }
+        if (ownTokens > 0 && ownTokens + tokens > memoryTokens / (silentPeers + 1)) {
+            return false;
+        }
+        double unsizedTokens = peers.unsizedRequests() * memoryTokens / Math.max(1, entry.slots());
+        double peersTokens = peers.tokens() + peers.marginTokens() + unsizedTokens;
+        return ownTokens + Math.max(0, peersTokens) + tokens <= memoryTokens;
+    }
+
+    /**
+     * Sets the estimated load from the peers.
+     *
+     * @param load the load
+     * @param silent the number of peers of which this host has not heard lately, if that is true of all of them; otherwise 0
+     */
+    public void setPeersLoad(PeersLoad load, int silent) {
+        peers = load;
+        silentPeers = silent;
+    }
+
+    /**
+     * Changes the estimated load from the peers, one of which was just heard of.
+     *
+     * @param factor a factor by which to multiply the load; negative to subtract it
+     * @param load the load to add
+     */
+    public void addPeersLoad(double factor, PeersLoad load) {
+        peers = peers.plus(factor, load);
+        silentPeers = 0;
+    }
+
+    /** Records that a request of unknown size was sent, which uses up a permit. */
     public void requestStarted() {
+        requestStarted(0);
+    }
+
+    /**
+     * Records that a request was sent, which uses up a permit.
+     *
+     * @param tokens the memory that it can hold at its end, in tokens; 0 if not known
+     */
+    public void requestStarted(long tokens) {
         inFlight++;
+        ownTokens += tokens;
         limit.usePermit();
     }
 
-    /** Records that a request ended, successfully or not. */
+    /** Records that a request of unknown size ended, successfully or not. */
     public void requestEnded() {
+        requestEnded(0);
+    }
+
+    /**
+     * Records that a request ended, successfully or not.
+     *
+     * @param tokens the same as when it was sent
+     */
+    public void requestEnded(long tokens) {
         inFlight--;
+        ownTokens -= tokens;
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
+import org.celerygw.core.routes.Service;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.BackendServer;
@@ -498,6 +499,8 @@
                     .addKeyValue("routes", newRoutes.size())
                     .log("config: new configuration is in force");
             routes = newRoutes;
+            serverSelector.setMemory(
+                    name -> newRoutes.service(name).map(Service::memoryTokens).orElse(0));
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
         }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -36,7 +36,7 @@
                 exchange.latestSendMs(),
                 programDeadlineMs,
                 Optional.empty(),
-                0);
+                turn.memoryTokens());
         exchange.forwarder.engineQueue.offer(request, this, sinceMs);
         exchange.forwarder.queueChanged();
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -220,7 +220,7 @@
         possibleExecutions++;
         crashGuard.onSend();
         turn.onSend(server.entry().softwareVersion());
-        forwarder.requestStarted(server, service);
+        forwarder.requestStarted(server, service, turn.memoryTokens());
         forwarder.requestLog.logSend(this, server);
         sentMs = forwarder.clock.nowMs();
         lastReceivedMs = sentMs;
@@ -411,7 +411,7 @@
         pendingRequest = null;
         if (pending != null && server != null) {
             pending.cancel();
-            forwarder.requestEnded(server, service);
+            forwarder.requestEnded(server, service, turn.memoryTokens());
             forwarder.requestLog.logSendEnd(this, server.entry().id(), "cancelled");
         }
     }
@@ -447,7 +447,7 @@
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
         serverMs += forwarder.clock.nowMs() - sentMs;
-        forwarder.requestEnded(server, service);
+        forwarder.requestEnded(server, service, turn.memoryTokens());
         forwarder.requestLog.logSendEnd(this, server.entry().id(), outcome);
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -168,14 +168,14 @@
     }
 
     /** Counts a request that is sent to a server. */
-    void requestStarted(TrackedServer server, @Nullable Service service) {
-        server.requestStarted();
+    void requestStarted(TrackedServer server, @Nullable Service service, long tokens) {
+        server.requestStarted(tokens);
         reportLoadChange(service);
     }
 
     /** Counts a request that no longer runs at a server. */
-    void requestEnded(TrackedServer server, @Nullable Service service) {
-        server.requestEnded();
+    void requestEnded(TrackedServer server, @Nullable Service service, long tokens) {
+        server.requestEnded(tokens);
         reportLoadChange(service);
         // Not during this call: the exchange whose request has ended is not ready for another one yet.
         scheduler.schedule(0, this::pollQueue);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -18,6 +18,8 @@
     private static final long UNLIMITED_BUDGET_TOKENS = Long.MAX_VALUE / 4;
     private static final long SETTLE_TIMEOUT_MS = 1_000;
     private static final int MAX_STORED_INPUT_BYTES = 400_000;
+    /** Text has four bytes per token on average; a lower figure errs on the side of too much memory. */
+    private static final int MIN_BYTES_PER_TOKEN = 3;
 
     private final Exchange exchange;
     private final boolean reservesTokens;
@@ -89,6 +91,23 @@
         return chain == null ? "" : chain.lastServer();
     }
 
+    /**
+     * Returns the engine memory that the turn can hold at its end, in tokens: its prompt and its longest output. A client
+     * that does not name the size of its prompt gets an estimate from the bytes of the history and of the new input. 0 if
+     * the memory of the service's engines is not known.
+     */
+    long memoryTokens() {
+        if (exchange.service == null || exchange.service.memoryTokens() <= 0) {
+            return 0;
+        }
+        long namedTokens = exchange.metadata.promptTokens();
+        int historyBytes = chain == null ? 0 : chain.history().length;
+        long promptTokens = namedTokens > 0
+                ? namedTokens
+                : (historyBytes + exchange.request.body().length + MIN_BYTES_PER_TOKEN - 1L) / MIN_BYTES_PER_TOKEN;
+        return promptTokens + exchange.metadata.maxTokens();
+    }
+
     /** Returns the body of the request to the backend server: the history, then the new input. */
     byte[] requestBody() {
         if (chain == null || chain.history().length == 0) {
