Extract start-time fair queueing from the shares of the product's customers

Cause: the queue in front of engines is to share them among customers with the same algorithm. Change: core.scheduling.FairShares holds how far each customer is ahead of its share; FairShareAccounts keeps the configured shares and limits and uses it.

--- a/core/src/main/java/org/celerygw/core/routing/FairShareAccounts.java
+++ b/core/src/main/java/org/celerygw/core/routing/FairShareAccounts.java
@@ -4,11 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import org.celerygw.core.id.CustomerId;
+import org.celerygw.core.scheduling.FairShares;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Fair sharing among customers by start-time fair queueing. A customer's virtual time runs ahead of the clock by the
- * work that the customer received beyond its share, and its calls are ordered by that time.
+ * The configured shares and limits of customers. The lead of a customer over its share orders its calls, as
+ * {@link FairShares} describes.
  */
 final class FairShareAccounts {
     private static final double DEFAULT_SHARE = 1;
@@ -19,6 +20,7 @@
 
     private final Map<CustomerId, Account> accounts = new HashMap<>();
     private final int fleetHosts;
+    private final FairShares<CustomerId> leads = FairShares.drainingWithTime(MAX_LEAD_MS);
     private double activeShareSum;
 
     FairShareAccounts(int fleetHosts) {
@@ -29,7 +31,6 @@
         double share = DEFAULT_SHARE;
         int maxCalls;
         int activeCalls;
-        double virtualTimeMs;
     }
 
     void configure(List<CustomerQuota> quotas) {
@@ -76,14 +77,12 @@
             activeShareSum += account.share;
         }
         account.activeCalls++;
-        account.virtualTimeMs = Math.max(account.virtualTimeMs, (double) nowMs);
-        long leadMs = (long) Math.min((double) MAX_LEAD_MS, account.virtualTimeMs - nowMs);
+        long leadMs = (long) leads.leadMs(customer, nowMs);
         double fraction = account.share / Math.max(activeShareSum, account.share);
         if (fraction >= SOLE_CUSTOMER_FRACTION) {
             return 0;
         }
-        double nextMs = account.virtualTimeMs + workMs / Math.max(1, fraction * slots);
-        account.virtualTimeMs = Math.min(nextMs, (double) nowMs + MAX_LEAD_MS);
+        leads.charge(customer, workMs / Math.max(1, fraction * slots), nowMs);
         return leadMs;
     }
 
