Let digests tell the waiting requests by precedence

Cause: ranks and shares of customers have to hold over the hosts of a group, and Waiting tells only two classes. Change: Waiting.classes, sent only while customers compete; hosts of earlier releases ignore it.

--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -86,6 +86,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peers_Waiting_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_WaitingClass_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_WaitingClass_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peers_ServerLoad_descriptor;
   static final 
@@ -160,26 +165,29 @@
       "ined\030\006 \001(\010\"1\n\014CustomerWork\022\020\n\010customer\030\001" +
       " \001(\007\022\017\n\007work_ms\030\002 \001(\002\"^\n\010ZoneRoom\022\017\n\007ser" +
       "vice\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\022\n\nfree_slots\030\003" +
-      " \001(\005\022\017\n\007waiting\030\004 \001(\005\022\016\n\006age_ms\030\005 \001(\005\",\n" +
+      " \001(\005\022\017\n\007waiting\030\004 \001(\005\022\016\n\006age_ms\030\005 \001(\005\"[\n" +
       "\007Waiting\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 " +
-      "\001(\005\"\250\001\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin" +
-      "_flight\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit" +
-      "_per_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\022\016\n\006to" +
-      "kens\030\006 \001(\003\022\022\n\nservice_ms\030\007 \001(\002\022\026\n\016servic" +
-      "e_age_ms\030\010 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartit" +
-      "ion\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.stor" +
-      "e.WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celeryg" +
-      "w.store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.ce" +
-      "lerygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\t" +
-      "H\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001" +
-      " \001(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004ro" +
-      "ws\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n" +
-      "\004feed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B" +
-      "\007\n\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n" +
-      "\004rows\030\002 \003(\0132\030.celerygw.store.TableRow*5\n" +
-      "\014PermitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020" +
-      "\001\022\t\n\005LATER\020\002B\037\n\033org.celerygw.core.gen.pe" +
-      "ersP\001b\006proto3"
+      "\001(\005\022-\n\007classes\030\003 \003(\0132\034.celerygw.peers.Wa" +
+      "itingClass\"E\n\014WaitingClass\022\022\n\nprecedence" +
+      "\030\001 \001(\005\022\021\n\tunder_way\030\002 \001(\005\022\016\n\006others\030\003 \001(" +
+      "\005\"\250\001\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin_f" +
+      "light\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit_p" +
+      "er_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\022\016\n\006toke" +
+      "ns\030\006 \001(\003\022\022\n\nservice_ms\030\007 \001(\002\022\026\n\016service_" +
+      "age_ms\030\010 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartitio" +
+      "n\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.store." +
+      "WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celerygw." +
+      "store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.cele" +
+      "rygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\tH\000" +
+      "B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001 \001" +
+      "(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004rows" +
+      "\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n\004f" +
+      "eed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B\007\n" +
+      "\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n\004r" +
+      "ows\030\002 \003(\0132\030.celerygw.store.TableRow*5\n\014P" +
+      "ermitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020\001\022" +
+      "\t\n\005LATER\020\002B\037\n\033org.celerygw.core.gen.peer" +
+      "sP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -257,27 +265,33 @@
     internal_static_celerygw_peers_Waiting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Waiting_descriptor,
-        new java.lang.String[] { "UnderWay", "Others", });
-    internal_static_celerygw_peers_ServerLoad_descriptor =
+        new java.lang.String[] { "UnderWay", "Others", "Classes", });
+    internal_static_celerygw_peers_WaitingClass_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_celerygw_peers_WaitingClass_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_WaitingClass_descriptor,
+        new java.lang.String[] { "Precedence", "UnderWay", "Others", });
+    internal_static_celerygw_peers_ServerLoad_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_celerygw_peers_ServerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_ServerLoad_descriptor,
         new java.lang.String[] { "Server", "InFlight", "Doubtful", "LimitPerS", "LimitAgeMs", "Tokens", "ServiceMs", "ServiceAgeMs", });
     internal_static_celerygw_peers_RelayedCall_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_celerygw_peers_RelayedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedCall_descriptor,
         new java.lang.String[] { "Partition", "Write", "Read", "Scan", "Feed", "Call", });
     internal_static_celerygw_peers_RelayedReply_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_celerygw_peers_RelayedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedReply_descriptor,
         new java.lang.String[] { "Written", "Rows", "Feed", "Reply", });
     internal_static_celerygw_peers_FeedRows_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_celerygw_peers_FeedRows_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_FeedRows_descriptor,
--- a/core/src/main/java/org/celerygw/core/gen/peers/Waiting.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Waiting.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private Waiting() {
+    classes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -78,6 +79,67 @@
     return others_;
   }
 
+  public static final int CLASSES_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<org.celerygw.core.gen.peers.WaitingClass> classes_;
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.celerygw.core.gen.peers.WaitingClass> getClassesList() {
+    return classes_;
+  }
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.celerygw.core.gen.peers.WaitingClassOrBuilder> 
+      getClassesOrBuilderList() {
+    return classes_;
+  }
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  @java.lang.Override
+  public int getClassesCount() {
+    return classes_.size();
+  }
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.WaitingClass getClasses(int index) {
+    return classes_.get(index);
+  }
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  @java.lang.Override
+  public org.celerygw.core.gen.peers.WaitingClassOrBuilder getClassesOrBuilder(
+      int index) {
+    return classes_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -98,6 +160,9 @@
     if (others_ != 0) {
       output.writeInt32(2, others_);
     }
+    for (int i = 0; i < classes_.size(); i++) {
+      output.writeMessage(3, classes_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -115,6 +180,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(2, others_);
     }
+
+        {
+          final int count = classes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(classes_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -134,6 +208,8 @@
         != other.getUnderWay()) return false;
     if (getOthers()
         != other.getOthers()) return false;
+    if (!getClassesList()
+        .equals(other.getClassesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -149,6 +225,10 @@
     hash = (53 * hash) + getUnderWay();
     hash = (37 * hash) + OTHERS_FIELD_NUMBER;
     hash = (53 * hash) + getOthers();
+    if (getClassesCount() > 0) {
+      hash = (37 * hash) + CLASSES_FIELD_NUMBER;
+      hash = (53 * hash) + getClassesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -282,6 +362,13 @@
       bitField0_ = 0;
       underWay_ = 0;
       others_ = 0;
+      if (classesBuilder_ == null) {
+        classes_ = java.util.Collections.emptyList();
+      } else {
+        classes_ = null;
+        classesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -308,11 +395,24 @@
     @java.lang.Override
     public org.celerygw.core.gen.peers.Waiting buildPartial() {
       org.celerygw.core.gen.peers.Waiting result = new org.celerygw.core.gen.peers.Waiting(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.celerygw.core.gen.peers.Waiting result) {
+      if (classesBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          classes_ = java.util.Collections.unmodifiableList(classes_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.classes_ = classes_;
+      } else {
+        result.classes_ = classesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.celerygw.core.gen.peers.Waiting result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -341,6 +441,32 @@
       if (other.getOthers() != 0) {
         setOthers(other.getOthers());
       }
+      if (classesBuilder_ == null) {
+        if (!other.classes_.isEmpty()) {
+          if (classes_.isEmpty()) {
+            classes_ = other.classes_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureClassesIsMutable();
+            classes_.addAll(other.classes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.classes_.isEmpty()) {
+          if (classesBuilder_.isEmpty()) {
+            classesBuilder_.dispose();
+            classesBuilder_ = null;
+            classes_ = other.classes_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            classesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetClassesFieldBuilder() : null;
+          } else {
+            classesBuilder_.addAllMessages(other.classes_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -377,6 +503,19 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              org.celerygw.core.gen.peers.WaitingClass m =
+                  input.readMessage(
+                      org.celerygw.core.gen.peers.WaitingClass.parser(),
+                      extensionRegistry);
+              if (classesBuilder_ == null) {
+                ensureClassesIsMutable();
+                classes_.add(m);
+              } else {
+                classesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -482,6 +621,318 @@
       return this;
     }
 
+    private java.util.List<org.celerygw.core.gen.peers.WaitingClass> classes_ =
+      java.util.Collections.emptyList();
+    private void ensureClassesIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        classes_ = new java.util.ArrayList<org.celerygw.core.gen.peers.WaitingClass>(classes_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.WaitingClass, org.celerygw.core.gen.peers.WaitingClass.Builder, org.celerygw.core.gen.peers.WaitingClassOrBuilder> classesBuilder_;
+
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.WaitingClass> getClassesList() {
+      if (classesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(classes_);
+      } else {
+        return classesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public int getClassesCount() {
+      if (classesBuilder_ == null) {
+        return classes_.size();
+      } else {
+        return classesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public org.celerygw.core.gen.peers.WaitingClass getClasses(int index) {
+      if (classesBuilder_ == null) {
+        return classes_.get(index);
+      } else {
+        return classesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder setClasses(
+        int index, org.celerygw.core.gen.peers.WaitingClass value) {
+      if (classesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClassesIsMutable();
+        classes_.set(index, value);
+        onChanged();
+      } else {
+        classesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder setClasses(
+        int index, org.celerygw.core.gen.peers.WaitingClass.Builder builderForValue) {
+      if (classesBuilder_ == null) {
+        ensureClassesIsMutable();
+        classes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        classesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder addClasses(org.celerygw.core.gen.peers.WaitingClass value) {
+      if (classesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClassesIsMutable();
+        classes_.add(value);
+        onChanged();
+      } else {
+        classesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder addClasses(
+        int index, org.celerygw.core.gen.peers.WaitingClass value) {
+      if (classesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClassesIsMutable();
+        classes_.add(index, value);
+        onChanged();
+      } else {
+        classesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder addClasses(
+        org.celerygw.core.gen.peers.WaitingClass.Builder builderForValue) {
+      if (classesBuilder_ == null) {
+        ensureClassesIsMutable();
+        classes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        classesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder addClasses(
+        int index, org.celerygw.core.gen.peers.WaitingClass.Builder builderForValue) {
+      if (classesBuilder_ == null) {
+        ensureClassesIsMutable();
+        classes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        classesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder addAllClasses(
+        java.lang.Iterable<? extends org.celerygw.core.gen.peers.WaitingClass> values) {
+      if (classesBuilder_ == null) {
+        ensureClassesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, classes_);
+        onChanged();
+      } else {
+        classesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder clearClasses() {
+      if (classesBuilder_ == null) {
+        classes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        classesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public Builder removeClasses(int index) {
+      if (classesBuilder_ == null) {
+        ensureClassesIsMutable();
+        classes_.remove(index);
+        onChanged();
+      } else {
+        classesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public org.celerygw.core.gen.peers.WaitingClass.Builder getClassesBuilder(
+        int index) {
+      return internalGetClassesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public org.celerygw.core.gen.peers.WaitingClassOrBuilder getClassesOrBuilder(
+        int index) {
+      if (classesBuilder_ == null) {
+        return classes_.get(index);  } else {
+        return classesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public java.util.List<? extends org.celerygw.core.gen.peers.WaitingClassOrBuilder> 
+         getClassesOrBuilderList() {
+      if (classesBuilder_ != null) {
+        return classesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(classes_);
+      }
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public org.celerygw.core.gen.peers.WaitingClass.Builder addClassesBuilder() {
+      return internalGetClassesFieldBuilder().addBuilder(
+          org.celerygw.core.gen.peers.WaitingClass.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public org.celerygw.core.gen.peers.WaitingClass.Builder addClassesBuilder(
+        int index) {
+      return internalGetClassesFieldBuilder().addBuilder(
+          index, org.celerygw.core.gen.peers.WaitingClass.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * the same by precedence; only while customers compete
+     * </pre>
+     *
+     * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+     */
+    public java.util.List<org.celerygw.core.gen.peers.WaitingClass.Builder> 
+         getClassesBuilderList() {
+      return internalGetClassesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.celerygw.core.gen.peers.WaitingClass, org.celerygw.core.gen.peers.WaitingClass.Builder, org.celerygw.core.gen.peers.WaitingClassOrBuilder> 
+        internalGetClassesFieldBuilder() {
+      if (classesBuilder_ == null) {
+        classesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.celerygw.core.gen.peers.WaitingClass, org.celerygw.core.gen.peers.WaitingClass.Builder, org.celerygw.core.gen.peers.WaitingClassOrBuilder>(
+                classes_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        classes_ = null;
+      }
+      return classesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.Waiting)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/WaitingOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/WaitingOrBuilder.java
@@ -29,4 +29,48 @@
    * @return The others.
    */
   int getOthers();
+
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  java.util.List<org.celerygw.core.gen.peers.WaitingClass> 
+      getClassesList();
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  org.celerygw.core.gen.peers.WaitingClass getClasses(int index);
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  int getClassesCount();
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  java.util.List<? extends org.celerygw.core.gen.peers.WaitingClassOrBuilder> 
+      getClassesOrBuilderList();
+  /**
+   * <pre>
+   * the same by precedence; only while customers compete
+   * </pre>
+   *
+   * <code>repeated .celerygw.peers.WaitingClass classes = 3;</code>
+   */
+  org.celerygw.core.gen.peers.WaitingClassOrBuilder getClassesOrBuilder(
+      int index);
 }
