Count engine memory only where the settings say that engines fail without it

Cause: the engines of most deployments preempt requests when their memory runs out, and count shared parts of prompts once. Counting each prompt in full there would leave slots empty.

--- a/core/src/main/java/org/celerygw/core/routes/RouteTable.java
+++ b/core/src/main/java/org/celerygw/core/routes/RouteTable.java
@@ -57,6 +57,19 @@
      */
     public record Limits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {}
 
+    /**
+     * Returns the same table for engines that manage their memory themselves.
+     *
+     * @return a table whose services name no memory size
+     */
+    public RouteTable withoutEngineMemory() {
+        List<Route> routes =
+                routesByHost.values().stream().flatMap(r -> r.values().stream()).toList();
+        List<Service> unsized =
+                services.values().stream().map(Service::withoutMemory).toList();
+        return new RouteTable(version, routes, unsized, limits, customers);
+    }
+
     /**
      * Returns the configuration's version.
      *
--- a/core/src/main/java/org/celerygw/core/routes/Service.java
+++ b/core/src/main/java/org/celerygw/core/routes/Service.java
@@ -11,4 +11,8 @@
  * @param memoryTokens how many tokens of prompts and outputs an engine holds at once; 0 if not known
  */
 public record Service(
-        String name, int maxConnections, boolean runsEngines, int slots, int tokensPerEvent, int memoryTokens) {}
+        String name, int maxConnections, boolean runsEngines, int slots, int tokensPerEvent, int memoryTokens) {
+    Service withoutMemory() {
+        return new Service(name, maxConnections, runsEngines, slots, tokensPerEvent, 0);
+    }
+}
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -498,9 +498,9 @@
                     .addKeyValue("before", configVersion())
                     .addKeyValue("routes", newRoutes.size())
                     .log("config: new configuration is in force");
-            routes = newRoutes;
+            routes = settings.enginesFailWithoutMemory() ? newRoutes : newRoutes.withoutEngineMemory();
             serverSelector.setMemory(
-                    name -> newRoutes.service(name).map(Service::memoryTokens).orElse(0));
+                    name -> routes.service(name).map(Service::memoryTokens).orElse(0));
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
         }
