Authenticate customers on the gateway's path

Cause: the configuration may name customers with keys; so far each request was forwarded whoever sent it, with the client's Authorization header.

Change: ConfigRow decodes the customers, each entry on its own (CustomerEntries); HeaderDialect reads the only Bearer key and the prompt parts, and sets Celerygw-Tenant; Authenticator decides per request: 401 for an unknown key, or 503 while ConfigFreshness cannot tell that the configuration is the newest, and then a peer is asked. Strict revocation refuses known keys after revokeMs without a confirmation. The customer's rank precedes the route's, and EngineRequest has its id. Without customers Authorization is forwarded as before; a client's Celerygw-Tenant never is. CustomerDirectory got problems(), logged when the version comes into force. HostsFixture and ForwarderFixture let tests set a configuration; no existing test is changed otherwise.

--- a/core/src/main/java/org/celerygw/core/routes/CustomerDirectory.java
+++ b/core/src/main/java/org/celerygw/core/routes/CustomerDirectory.java
@@ -15,6 +15,7 @@
     private final Map<String, Customer> byKey = new HashMap<>();
     private final Map<CustomerId, Customer> byId = new HashMap<>();
     private final boolean requiresKeys;
+    private final List<String> problems;
 
     /**
      * A customer with its keys.
@@ -42,7 +43,19 @@
      * @param requiresKeys whether requests need a key, also if no entry could be decoded
      */
     public CustomerDirectory(List<Entry> entries, boolean requiresKeys) {
+        this(entries, requiresKeys, List.of());
+    }
+
+    /**
+     * Creates a directory of a configuration with errors.
+     *
+     * @param entries the customers with their keys
+     * @param requiresKeys whether requests need a key, also if no entry could be decoded
+     * @param problems what could not be decoded, for the log; without keys
+     */
+    public CustomerDirectory(List<Entry> entries, boolean requiresKeys, List<String> problems) {
         this.requiresKeys = requiresKeys;
+        this.problems = List.copyOf(problems);
         entries.forEach(entry -> {
             Customer customer = entry.customer();
             if (byId.putIfAbsent(customer.id(), customer) == null) {
@@ -60,6 +73,15 @@
         return requiresKeys;
     }
 
+    /**
+     * Returns what could not be decoded.
+     *
+     * @return one text without keys per problem
+     */
+    public List<String> problems() {
+        return problems;
+    }
+
     /**
      * Looks up the customer that holds a key.
      *
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.quarantine.Quarantine;
+import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.QueueLength;
@@ -31,6 +32,7 @@
 import org.celerygw.core.turns.ExpiredProgramCleaner;
 import org.celerygw.core.turns.ProgramStore;
 import org.celerygw.core.turns.Scheduler;
+import org.celerygw.gateway.forward.Authenticator;
 import org.celerygw.gateway.forward.Dialect;
 import org.celerygw.gateway.forward.Forwarder;
 import org.celerygw.gateway.forward.OriginPools;
@@ -86,6 +88,7 @@
     private final Forwarder forwarder;
     private final Metrics metrics;
     private final Adapter adapter;
+    private final ConfigFreshness configFreshness;
     private final Watch configurationWatch;
     private final Watch serverWatch;
     private final Peers peers;
@@ -127,8 +130,8 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
-        this.configurationWatch =
-                createWatch(adapter.configurationFeed(), health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
+        this.configFreshness = createFreshness(settings.customerBounds());
+        this.configurationWatch = createConfigurationWatch(health);
         this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
         List<Table> partitions = adapter.partitions(settings.partitions()).stream()
                 .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
@@ -175,6 +178,7 @@
                 scheduler,
                 dialect,
                 () -> routes,
+                new Authenticator(configFreshness, configurationWatch::readFromPeer),
                 servers,
                 serverSelector,
                 engineQueue,
@@ -195,6 +199,15 @@
         return peers.serverRelays();
     }
 
+    private static ConfigFreshness createFreshness(GatewaySettings.CustomerBounds bounds) {
+        return new ConfigFreshness(bounds.revokeMs(), bounds.strictRevocation());
+    }
+
+    private Watch createConfigurationWatch(StoreHealth health) {
+        RowFeed feed = new ConfirmingFeed(adapter.configurationFeed(), clock, configFreshness);
+        return createWatch(feed, health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
+    }
+
     private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
         return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
     }
@@ -431,6 +444,11 @@
             serverSelector.setGroup(index, count);
         }
 
+        @Override
+        public void onPeerConfiguration(long version, boolean storeAnswers) {
+            configFreshness.recordPeer(version, storeAnswers, configVersion(), clock.nowMs());
+        }
+
         @Override
         public void onNewerConfiguration() {
             configurationWatch.readFromPeer();
@@ -497,6 +515,10 @@
                     .addKeyValue("before", configVersion())
                     .addKeyValue("routes", newRoutes.size())
                     .log("config: new configuration is in force");
+            newRoutes.customers().problems().forEach(problem -> LOG.atError()
+                    .addKeyValue("configVersion", newRoutes.version())
+                    .addKeyValue("problem", problem)
+                    .log("config: a customer's entry cannot be used as it is"));
             routes = newRoutes;
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Dialect.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Dialect.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.celerygw.core.id.CustomerId;
 import org.celerygw.gateway.net.ClientRequest;
 
 /** Translates between the header fields of one protocol and the gateway's types; makes no routing decisions. */
@@ -19,9 +21,10 @@
      * Returns whether a header of a client's request is forwarded to a backend server.
      *
      * @param name the header's name
-     * @return false for headers that only the gateway sets
+     * @param requiresKeys whether the configuration names customers, so that a credential is meant for the gateway
+     * @return false for headers that only the gateway sets or reads
      */
-    boolean isForwardable(String name);
+    boolean isForwardable(String name, boolean requiresKeys);
 
     /**
      * Adds the headers that the gateway sets on a request to a backend server.
@@ -69,6 +72,7 @@
      * @param serverId the id of the server that the request is meant for
      * @param remainingMs the time left until the request's deadline
      * @param lastEventId the id of the event after which the stream resumes; negative to stream from the first event
+     * @param customer the customer for which the request acts; empty for none
      */
-    record ForwardingHeaders(String serverId, long remainingMs, long lastEventId) {}
+    record ForwardingHeaders(String serverId, long remainingMs, long lastEventId, Optional<CustomerId> customer) {}
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -1,7 +1,7 @@
 package org.celerygw.gateway.forward;
 
-import java.util.Optional;
 import java.util.Set;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.scheduling.EngineQueue;
 import org.celerygw.core.scheduling.EngineRequest;
 import org.celerygw.core.servers.TrackedServer;
@@ -32,10 +32,10 @@
                 exchange.sendCount() > 0
                         || metadata.resumesStream()
                         || !metadata.previousTurn().isEmpty(),
-                exchange.route.rank(),
+                exchange.rank(),
                 exchange.latestSendMs(),
                 programDeadlineMs,
-                Optional.empty(),
+                exchange.customer().map(Customer::id),
                 0);
         exchange.forwarder.engineQueue.offer(request, this, sinceMs);
         exchange.forwarder.queueChanged();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
@@ -45,6 +46,7 @@
     final Route route;
     final RouteTable routes;
     final @Nullable Service service;
+    private final Optional<Customer> customer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
     private final long timeoutMs;
@@ -71,13 +73,15 @@
             ClientResponse clientResponse,
             RequestMetadata metadata,
             Route route,
-            RouteTable routes) {
+            RouteTable routes,
+            Optional<Customer> customer) {
         this.forwarder = forwarder;
         this.request = request;
         this.clientResponse = clientResponse;
         this.metadata = metadata;
         this.route = route;
         this.routes = routes;
+        this.customer = customer;
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
         this.timeoutMs =
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
@@ -118,6 +122,16 @@
         return sendCount;
     }
 
+    /** Returns the customer for which the request acts; empty for none. */
+    Optional<Customer> customer() {
+        return customer;
+    }
+
+    /** Returns the urgency rank: the customer's, or else the route's. */
+    int rank() {
+        return customer.flatMap(c -> c.rank().stream().boxed().findFirst()).orElse(route.rank());
+    }
+
     /** Returns how many requests the connection of the last send had carried before. */
     int earlierRequests() {
         return earlierRequests;
@@ -350,9 +364,13 @@
     }
 
     private OriginRequest originRequest(TrackedServer server) {
-        HttpHeaders headers = Headers.copy(request.headers(), forwarder.dialect::isForwardable);
+        boolean requiresKeys = routes.customers().requiresKeys();
+        HttpHeaders headers =
+                Headers.copy(request.headers(), name -> forwarder.dialect.isForwardable(name, requiresKeys));
         forwarder.dialect.addForwardingHeaders(
-                headers, new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), lastEventId()));
+                headers,
+                new Dialect.ForwardingHeaders(
+                        server.entry().id(), Math.max(1, remainingMs()), lastEventId(), customer.map(Customer::id)));
         return new OriginRequest(request.method(), request.uri(), headers, turn.requestBody());
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,6 +34,7 @@
  * event loop.
  */
 public final class Forwarder implements RequestHandler {
+    private static final int UNAUTHORIZED = 401;
     private static final long NO_CONFIG_RETRY_AFTER_MS = 300;
     private static final long QUEUE_POLL_INTERVAL_MS = 10;
     private static final long MAX_RESPONSE_BYTES_IN_FLIGHT = 24L << 20;
@@ -51,6 +53,7 @@
     final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
+    private final Authenticator authenticator;
     private final Runnable onLoadChanged;
     private final Runnable onSuspectsChanged;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -64,6 +67,7 @@
      * @param scheduler runs timeouts and delayed retries
      * @param dialect translates headers
      * @param currentRoutes supplies the routes of the latest configuration; null before the first one is known
+     * @param authenticator determines the customer of each request
      * @param servers the backend servers
      * @param serverSelector selects a backend server for each send
      * @param engineQueue decides which request to an engine starts, waits or is refused
@@ -80,6 +84,7 @@
             Scheduler scheduler,
             Dialect dialect,
             Supplier<@Nullable RouteTable> currentRoutes,
+            Authenticator authenticator,
             ServerList servers,
             ServerSelector serverSelector,
             EngineQueue engineQueue,
@@ -94,6 +99,7 @@
         this.scheduler = scheduler;
         this.dialect = dialect;
         this.currentRoutes = currentRoutes;
+        this.authenticator = authenticator;
         this.servers = servers;
         this.serverSelector = serverSelector;
         this.engineQueue = engineQueue;
@@ -127,7 +133,14 @@
                 refuse(response, metadata, new Refusal(503, "too little time left before this host has stopped", 0));
                 return;
             }
-            Exchange exchange = new Exchange(this, request, response, metadata, route.get(), routes);
+            Authenticator.Decision decision =
+                    authenticator.authenticate(metadata.credentials(), route.get(), routes, clock.nowMs());
+            if (decision.refusal().isPresent()) {
+                refuse(response, metadata, decision.refusal().get());
+                return;
+            }
+            Exchange exchange =
+                    new Exchange(this, request, response, metadata, route.get(), routes, decision.customer());
             exchanges.add(exchange);
             exchange.start();
         } catch (GatewayException e) {
@@ -221,6 +234,9 @@
         if (refusal.retryAfterMs() > 0) {
             dialect.setRetryAfter(headers, refusal.retryAfterMs());
         }
+        if (refusal.status() == UNAUTHORIZED) {
+            headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+        }
         response.send(refusal.status(), headers, new byte[0]);
         requestLog.logRefusal(metadata, refusal);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -143,6 +143,14 @@
          */
         void onGroup(int index, int count);
 
+        /**
+         * Called with the digest of another host.
+         *
+         * @param version the version of the configuration in force there
+         * @param storeAnswers whether the store answers that host
+         */
+        void onPeerConfiguration(long version, boolean storeAnswers);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -218,6 +226,9 @@
     }
 
     private void onDigest(Digest digest) {
+        if (digest.getConfigVersion() > 0) {
+            localState.onPeerConfiguration(digest.getConfigVersion(), digest.getStoreAnswers());
+        }
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
     }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.celerygw.core.quarantine.Quarantine;
+import org.celerygw.core.routes.ConfigFreshness;
+import org.celerygw.core.routes.CustomerDirectory;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
@@ -53,7 +55,10 @@
     private ServerList servers;
     private List<Table> partitions;
     Faults storeFaults;
+    final MonotonicClock clock = new MonotonicClock();
     private int hostCount;
+    volatile RouteTable routes;
+    ConfigFreshness freshness;
     private final List<AutoCloseable> open = new ArrayList<>();
 
     @BeforeClass
@@ -78,19 +83,20 @@
 
     /** Starts a host that knows nothing but what the store holds; servers must be added again. */
     void startHost() throws InterruptedException {
-        MonotonicClock clock = new MonotonicClock();
         Scheduler scheduler = (delayMs, task) -> {
             var unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
         };
         OriginPools originPools = new OriginPools(loop, clock, "id");
         servers = new ServerList(originPools::remove);
-        RouteTable routes = routeTable();
+        routes = routeTable(CustomerDirectory.EMPTY);
+        freshness = new ConfigFreshness(5_000, false);
         ServerSelector serverSelector = new ServerSelector("z", server -> {});
         Forwarder forwarder = new Forwarder(
                 clock,
                 scheduler,
                 new TestDialect(),
                 () -> routes,
+                new Authenticator(freshness, () -> {}),
                 servers,
                 serverSelector,
                 new EngineQueue(servers, serverSelector, service -> QueueLength.NONE, () -> 0.5),
@@ -129,7 +135,7 @@
                 task -> new Thread(task).start());
     }
 
-    private static RouteTable routeTable() {
+    static RouteTable routeTable(CustomerDirectory customers) {
         return new RouteTable(
                 1,
                 List.of(
@@ -140,7 +146,8 @@
                         route("/stream/", RouteKind.STREAMING, 2_000, false, false),
                         route("/turn/", RouteKind.STREAMING, 2_000, false, true)),
                 List.of(new Service("s", 10, true, ENGINE_SLOTS, 3, 0)),
-                new RouteTable.Limits(16_000, 100_000, 1_000, 10_000));
+                new RouteTable.Limits(16_000, 100_000, 1_000, 10_000),
+                customers);
     }
 
     private static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/TestDialect.java
@@ -29,14 +29,19 @@
     }
 
     @Override
-    public boolean isForwardable(String name) {
-        return !name.equals("secret") && !name.equals("left-ms") && !name.equals("last-event");
+    public boolean isForwardable(String name, boolean requiresKeys) {
+        return !(requiresKeys && name.equals("key"))
+                && !name.equals("customer")
+                && !name.equals("secret")
+                && !name.equals("left-ms")
+                && !name.equals("last-event");
     }
 
     @Override
     public void addForwardingHeaders(HttpHeaders headers, ForwardingHeaders values) {
         headers.set("server", values.serverId());
         headers.set("left-ms", Long.toString(values.remainingMs()));
+        values.customer().ifPresent(id -> headers.set("customer", id.value()));
         if (values.lastEventId() >= 0) {
             headers.set("last-event", Long.toString(values.lastEventId()));
         }
