Learn the speeds of servers from responses and from peers

Cause: servers of one service differ in speed by a factor of up to 2.7, and hosts know only the numbers of requests in flight.

Change: ServerSpeed holds the time of a server for a unit of work, relative to the mean of its service, with weights that decay with a half-life of 5 s. SpeedLearner compares responses with the mean of the same kind of work at the same load. Digests carry the values of servers that differ. No choice depends on them yet.

--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -12,6 +12,7 @@
 import org.celerygw.core.gen.peers.ServerLoad;
 import org.celerygw.core.servers.RequestLimit;
 import org.celerygw.core.servers.ServerList;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 
@@ -63,8 +64,10 @@
                 .limit(MAX_LIMITS_TOLD)
                 .collect(Collectors.toSet());
         return servers.all().stream()
-                .filter(server ->
-                        server.inFlight() > 0 || server.hasHighLocalFailureRate(nowMs) || limited.contains(server))
+                .filter(server -> server.inFlight() > 0
+                        || server.hasHighLocalFailureRate(nowMs)
+                        || limited.contains(server)
+                        || tellsSpeed(server, nowMs))
                 .map(server -> localLoad(server, limited.contains(server), nowMs))
                 .toList();
     }
@@ -73,11 +76,20 @@
         return server.limit().isInForce(nowMs) && server.limit().ageMs(nowMs) <= RequestLimit.MAX_TOLD_AGE_MS;
     }
 
+    /** A server of mean speed needs no entry of its own. */
+    private static boolean tellsSpeed(TrackedServer server, long nowMs) {
+        return server.speed().isKnownLocally(nowMs) && server.speed().slowness(nowMs) != 1;
+    }
+
     private static ServerLoad localLoad(TrackedServer server, boolean withLimit, long nowMs) {
         ServerLoad.Builder load = ServerLoad.newBuilder()
                 .setServer(server.entry().id())
                 .setInFlight(server.inFlight())
                 .setDoubtful(server.hasHighLocalFailureRate(nowMs));
+        if (server.speed().isKnownLocally(nowMs)) {
+            load.setServiceMs((float) server.speed().localUnitMs())
+                    .setServiceAgeMs((int) server.speed().localSampleAgeMs(nowMs));
+        }
         if (withLimit) {
             load.setLimitPerS(server.limit().perS(nowMs))
                     .setLimitAgeMs((int) server.limit().ageMs(nowMs));
@@ -120,6 +132,7 @@
         sampleScale = sampled == 0 ? 1 : countLiveOtherHosts(digests, nowMs) / (double) sampled;
         Map<String, Double> inFlightByServer = new HashMap<>();
         Map<String, Integer> failureReportsByServer = new HashMap<>();
+        updateSpeeds(digests, servers, nowMs);
         recent.forEach(received -> received.digest().getLoadsList().forEach(load -> {
             inFlightByServer.merge(load.getServer(), scale(received.sameGroup()) * load.getInFlight(), Double::sum);
             failureReportsByServer.merge(load.getServer(), load.getDoubtful() ? 1 : 0, Integer::sum);
@@ -131,6 +144,19 @@
         }
     }
 
+    /** Speeds change less than loads, so that older digests count as well; their samples decay with age. */
+    private static void updateSpeeds(Collection<ReceivedDigest> digests, ServerList servers, long nowMs) {
+        servers.all().forEach(server -> server.speed().clearPeers(nowMs));
+        digests.forEach(received -> received.digest().getLoadsList().forEach(load -> {
+            TrackedServer server = servers.byId(load.getServer());
+            if (server != null) {
+                long ageMs = Math.max(0, load.getServiceAgeMs()) + nowMs - received.receivedAtMs();
+                server.speed().addPeer(load.getServiceMs(), ageMs);
+            }
+        }));
+        SpeedLearner.updateServiceMeans(servers.all(), nowMs);
+    }
+
     /**
      * Applies the change between two consecutive digests of one peer, so that the estimates follow each digest. The next
      * {@link #updateServers} corrects what this neglects: expired digests and the number of live hosts.
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -24,6 +24,7 @@
     private long failureRateAtMs;
     private boolean peersReportFailures;
     private final RequestLimit limit = new RequestLimit();
+    private final ServerSpeed speed = new ServerSpeed();
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
@@ -215,6 +216,15 @@
         return limit;
     }
 
+    /**
+     * Returns the server's speed.
+     *
+     * @return the speed as learned from responses of this incarnation
+     */
+    public ServerSpeed speed() {
+        return speed;
+    }
+
     /** Records the entry as registered now, for the first time, changed, or again. */
     void onRegistered(BackendServer newEntry) {
         entry = newEntry;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -11,6 +11,7 @@
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -455,11 +456,15 @@
     private final class BackendResponseHandler implements ResponseHandler {
         private final TrackedServer server;
         private final int eventsBefore;
+        private final int loadAtStart;
+        private long firstBodyMs;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
 
+        /** Created when the request has been counted in the server's load. */
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
+            this.loadAtStart = server.load() - 1;
             this.eventsBefore = responseWriter.receivedEvents();
         }
 
@@ -484,6 +489,9 @@
         @Override
         public void onBody(byte[] bytes) {
             lastReceivedMs = forwarder.clock.nowMs();
+            if (firstBodyMs == 0) {
+                firstBodyMs = lastReceivedMs - sentMs;
+            }
             if (serverFirstByteMs == 0) {
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
@@ -560,11 +568,32 @@
             if (service != null && service.runsEngines() && status < SERVER_ERROR) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
             }
+            recordSpeed();
             if (!ended) {
                 responseWriter.finish();
             }
         }
 
+        /** A response through a peer says less about the server, and one that is no success says nothing. */
+        private void recordSpeed() {
+            if (status / 100 != 2 || service == null || forwarder.links.prefersPeers(server)) {
+                return;
+            }
+            long nowMs = forwarder.clock.nowMs();
+            long wholeMs = lastReceivedMs - sentMs;
+            if (service.runsEngines()) {
+                int events = Math.max(0, responseWriter.receivedEvents() - eventsBefore - 1);
+                forwarder.speedLearner.recordEngineResponse(
+                        server,
+                        route.name(),
+                        loadAtStart,
+                        new SpeedLearner.EngineTimes(metadata.promptTokens(), events, firstBodyMs, wholeMs),
+                        nowMs);
+            } else {
+                forwarder.speedLearner.recordResponse(server, route.name(), loadAtStart, wholeMs, nowMs);
+            }
+        }
+
         private void onShed() {
             if (status == MISDIRECTED_REQUEST) {
                 server.recordFailure(forwarder.clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -19,6 +19,7 @@
 import org.celerygw.core.scheduling.GracefulStop;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.ProgramStore;
@@ -50,6 +51,7 @@
     final Quarantine quarantine;
     final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
+    final SpeedLearner speedLearner = new SpeedLearner();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Runnable onLoadChanged;
     private final Runnable onSuspectsChanged;
