Store turns and programs by customer

Cause: a turn that named a previous turn of another customer got its history, and two customers with the same program id shared a budget. A chain in a program whose id is escaped was also not found beyond its last turn, since ids taken from rows were escaped a second time; customers' programs all have such ids.

Change: a stored turn names its customer, and ChainReader treats turns of others as missing and tries all programs that the index names. Programs are stored under the customer's id and their own (ProgramIds). Ids from rows are not escaped again.

--- a/core/src/main/java/org/celerygw/core/turns/ChainReader.java
+++ b/core/src/main/java/org/celerygw/core/turns/ChainReader.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,15 +18,24 @@
  */
 final class ChainReader {
     private final ProgramStore programStore;
+    private final String customer;
     private final Consumer<TurnChain> callback;
     private final Deque<StoredTurn> turns = new ArrayDeque<>();
     private final Set<String> loadedPrograms = new HashSet<>();
     private final Set<String> visited = new HashSet<>();
+    /** Programs that hold a turn of the requested id, but one of another customer. */
+    private final Set<String> foreignPrograms = new HashSet<>();
+    /** Programs that hold a turn of the requested id according to the index, and were not read yet. */
+    private final Deque<String> candidates = new ArrayDeque<>();
+
+    private boolean searched;
+    private TurnChain notFound = TurnChain.MISSING;
     private String newestProgram = "";
     private String newestTurn = "";
 
-    ChainReader(ProgramStore programStore, Consumer<TurnChain> callback) {
+    ChainReader(ProgramStore programStore, String customer, Consumer<TurnChain> callback) {
         this.programStore = programStore;
+        this.customer = customer;
         this.callback = callback;
     }
 
@@ -40,6 +50,11 @@
         String turnId = firstTurnId;
         StoredTurn turn = program.turns.get(turnId);
         while (turn != null) {
+            if (!turn.isReadableBy(customer)) {
+                foreignPrograms.add(program.safeId);
+                continueElsewhere(turnId);
+                return;
+            }
             if (!visited.add(program.safeId + "/" + turnId)) {
                 // The rows name each other as parents, which no host writes.
                 callback.accept(TurnChain.UNAVAILABLE);
@@ -53,7 +68,7 @@
                 callback.accept(buildChain());
                 return;
             }
-            program = programStore.cachedProgram(turn.parentProgram());
+            program = programStore.cachedBySafeId(turn.parentProgram());
             turnId = turn.parentTurn();
             turn = program.turns.get(turnId);
         }
@@ -69,11 +84,26 @@
                     callback.accept(TurnChain.UNAVAILABLE);
                 }
             });
-        } else if (turns.isEmpty()) {
-            searchAllPartitions(turnId);
         } else {
+            if (searched) {
+                // The index names a program that does not hold the turn.
+                notFound = TurnChain.UNAVAILABLE;
+            }
+            continueElsewhere(turnId);
+        }
+    }
+
+    private void continueElsewhere(String turnId) {
+        if (!turns.isEmpty()) {
             // The newest turn was found but one of its ancestors is missing, so the chain cannot be rebuilt.
             callback.accept(TurnChain.UNAVAILABLE);
+        } else if (!searched) {
+            searched = true;
+            searchAllPartitions(turnId);
+        } else if (candidates.isEmpty()) {
+            callback.accept(notFound);
+        } else {
+            readTurn(programStore.cachedBySafeId(candidates.remove()), turnId);
         }
     }
 
@@ -107,21 +137,22 @@
     /** Collects the responses of all partitions to one index lookup. */
     private final class IndexSearch {
         private boolean failed;
-        private String program = "";
+        private final Set<String> programs = new LinkedHashSet<>();
 
         void add(Table.ReadResult result) {
             failed |= !result.ok();
             result.rows().stream()
                     .filter(Row::exists)
-                    .forEach(r -> program = r.value().toStringUtf8());
+                    .forEach(r -> programs.add(r.value().toStringUtf8()));
         }
 
         void finish(String turnId) {
-            if (!program.isEmpty() && !loadedPrograms.contains(program)) {
-                readTurn(programStore.cachedProgram(program), turnId);
-            } else {
-                callback.accept(failed || !program.isEmpty() ? TurnChain.UNAVAILABLE : TurnChain.MISSING);
+            programs.removeAll(foreignPrograms);
+            if (failed || programs.stream().anyMatch(loadedPrograms::contains)) {
+                notFound = TurnChain.UNAVAILABLE;
             }
+            programs.stream().filter(p -> !loadedPrograms.contains(p)).forEach(candidates::add);
+            continueElsewhere(turnId);
         }
     }
 }
--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -269,11 +269,25 @@
      * @param callback called once with the chain
      */
     public void readChain(String program, String previousTurn, long deadlineMs, Consumer<TurnChain> callback) {
+        readChain(program, previousTurn, "", deadlineMs, callback);
+    }
+
+    /**
+     * Reads the chain of turns that a new turn of a customer continues. A turn of another customer counts as missing.
+     *
+     * @param program the program's id
+     * @param previousTurn the id of the turn to continue
+     * @param customer the customer's name; empty for none
+     * @param deadlineMs when to stop retrying, in ms since 1970-01-01 UTC
+     * @param callback called once with the chain
+     */
+    public void readChain(
+            String program, String previousTurn, String customer, long deadlineMs, Consumer<TurnChain> callback) {
         CachedProgram cached = cachedProgram(program);
-        ChainReader reader = new ChainReader(this, chain -> {
+        ChainReader reader = new ChainReader(this, customer, chain -> {
             long pauseMs = retryDelayMs(cached);
             if (chain.status() == TurnChain.Status.UNAVAILABLE && clock.nowMs() + pauseMs < deadlineMs) {
-                scheduler.schedule(pauseMs, () -> readChain(program, previousTurn, deadlineMs, callback));
+                scheduler.schedule(pauseMs, () -> readChain(program, previousTurn, customer, deadlineMs, callback));
             } else {
                 callback.accept(chain);
             }
@@ -321,7 +335,11 @@
 
     /** Returns a program's cache entry; adds an empty one if the program is not cached. */
     CachedProgram cachedProgram(String program) {
-        String safeId = ProgramRowKeys.safeId(program);
+        return cachedBySafeId(ProgramRowKeys.safeId(program));
+    }
+
+    /** Returns the cache entry of a program whose id is taken from a row, where it is escaped already. */
+    CachedProgram cachedBySafeId(String safeId) {
         CachedProgram known = programs.get(safeId);
         if (known != null) {
             return known;
--- a/core/src/main/java/org/celerygw/core/turns/TurnRowCodec.java
+++ b/core/src/main/java/org/celerygw/core/turns/TurnRowCodec.java
@@ -24,6 +24,7 @@
                 .setOutput(ByteString.copyFrom(turn.output()))
                 .setServer(turn.server())
                 .setEndedMs(turn.endedMs())
+                .setCustomer(turn.customer())
                 .build()
                 .toByteString();
         List<Txn.Change> changes = new ArrayList<>();
@@ -63,7 +64,8 @@
                     row.getInput().toByteArray(),
                     row.getOutput().toByteArray(),
                     row.getServer(),
-                    row.getEndedMs());
+                    row.getEndedMs(),
+                    row.getCustomer());
         } catch (InvalidProtocolBufferException e) {
             return null;
         }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -1,8 +1,10 @@
 package org.celerygw.gateway.forward;
 
 import java.io.ByteArrayOutputStream;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
+import org.celerygw.core.turns.ProgramIds;
 import org.celerygw.core.turns.Reservation;
 import org.celerygw.core.turns.StoredTurn;
 import org.celerygw.core.turns.TurnChain;
@@ -36,16 +38,20 @@
         boolean generates = exchange.route.kind() == RouteKind.STREAMING;
         this.storesTurn = generates && exchange.route.storesTurns();
         this.reservesTokens = storesTurn || (generates && exchange.metadata.hasBudget());
-        this.program =
-                exchange.metadata.program().isEmpty() ? programOf(exchange.metadata.id()) : exchange.metadata.program();
+        this.program = storedProgram(exchange, exchange.metadata.id());
         this.budgetTokens = exchange.metadata.hasBudget() ? exchange.metadata.budgetTokens() : UNLIMITED_BUDGET_TOKENS;
         this.reservationConfirmed = !reservesTokens;
         this.versionGuard = new StreamVersionGuard(exchange, program, reservesTokens, this::deliverIfAllowed);
     }
 
-    /** Returns the program under which a turn without a program is stored. */
-    static String programOf(String turn) {
-        return "alone-" + turn;
+    /** Returns the program under which a turn of an exchange's program and customer is stored. */
+    static String storedProgram(Exchange exchange, String turn) {
+        String named = exchange.metadata.program();
+        return ProgramIds.of(exchange.customer().map(Customer::id), named.isEmpty() ? "alone-" + turn : named);
+    }
+
+    private String customer() {
+        return exchange.customer().map(c -> c.id().value()).orElse("");
     }
 
     /** Returns how long the rows of a route's turns are retained, in ms. */
@@ -112,7 +118,7 @@
     private void readChain() {
         if (storesTurn && !exchange.metadata.previousTurn().isEmpty()) {
             exchange.forwarder.programStore.readChain(
-                    program, exchange.metadata.previousTurn(), exchange.latestSendMs(), this::onChainRead);
+                    program, exchange.metadata.previousTurn(), customer(), exchange.latestSendMs(), this::onChainRead);
         } else {
             onChainRead(TurnChain.EMPTY);
         }
@@ -239,8 +245,9 @@
                         exchange.request.body(),
                         output,
                         exchange.lastServerId(),
-                        nowMs)
-                : new StoredTurn("", "", requestBody(), output, exchange.lastServerId(), nowMs);
+                        nowMs,
+                        customer())
+                : new StoredTurn("", "", requestBody(), output, exchange.lastServerId(), nowMs, customer());
     }
 
     /** Settles the reservation with the tokens of the delivered events, unless already settled; does not store the turn. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/StreamVersionGuard.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/StreamVersionGuard.java
@@ -49,7 +49,7 @@
             refuse("the request does not name the attempt that began the stream to resume");
             return;
         }
-        String storedUnder = exchange.metadata.program().isEmpty() ? ProgramTurn.programOf(attempt) : program;
+        String storedUnder = ProgramTurn.storedProgram(exchange, attempt);
         store().readStreamVersion(storedUnder, attempt, exchange.latestSendMs(), origin -> {
             if (!exchange.ended()) {
                 onOrigin(origin, next);
--- a/gateway/src/test/java/org/celerygw/gateway/forward/AuthenticationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/AuthenticationTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.IntStream;
 import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.CustomerDirectory;
@@ -27,7 +28,11 @@
         received.clear();
         startServer((request, out, socket) -> {
             received.add(request);
-            respond(out, "200 OK", request, SIGNED, "body");
+            if (request.requestLine().contains("/turn/")) {
+                respondWithEvents(request, out, "ev");
+            } else {
+                respond(out, "200 OK", request, SIGNED, "body");
+            }
         });
     }
 
@@ -70,13 +75,36 @@
         assertFalse(received.stream().anyMatch(r -> "b".equals(r.header("id"))));
     }
 
+    /** Guards against a customer that reads the turns of another one, or spends the budget of a program of the same id. */
+    @Test
+    public void customersShareNeitherTurnsNorBudgets() throws Exception {
+        configure("k1", "k2");
+        assertTrue(sendRequest(turn("a", "k1", "")).startsWith("HTTP/1.1 200"));
+        assertTrue(sendRequest(turn("b", "k1", "")).startsWith("HTTP/1.1 402"));
+        String foreign = sendRequest(turn("c", "k2", "a"));
+        String missing = sendRequest(turn("d", "k2", "none"));
+        assertTrue(foreign.startsWith("HTTP/1.1 404"), foreign);
+        assertEquals(foreign, missing);
+        assertTrue(sendRequest(turn("e", "k2", "")).startsWith("HTTP/1.1 200"));
+    }
+
+    private static String turn(String id, String key, String previous) {
+        return "POST /turn/ HTTP/1.1\r\nHost: h\r\nid: " + id + "\r\nprogram: p\r\nbudget: 10\r\nmax: 8\r\nkey: " + key
+                + (previous.isEmpty() ? "" : "\r\nprevious: " + previous) + "\r\ncontent-length: 1\r\n\r\nx";
+    }
+
     private void confirm() {
         freshness.recordStoreAnswer(clock.nowMs());
     }
 
-    private void configure(String key) {
-        Customer customer = new Customer(new CustomerId("t1"), OptionalInt.empty(), RateLimit.NONE);
-        routes = routeTable(new CustomerDirectory(List.of(new CustomerDirectory.Entry(customer, List.of(key))), true));
+    /** Configures one customer per key: t1, t2, and so on. */
+    private void configure(String... keys) {
+        List<CustomerDirectory.Entry> entries = IntStream.range(0, keys.length)
+                .mapToObj(i -> new CustomerDirectory.Entry(
+                        new Customer(new CustomerId("t" + (i + 1)), OptionalInt.empty(), RateLimit.NONE),
+                        List.of(keys[i])))
+                .toList();
+        routes = routeTable(new CustomerDirectory(entries, true));
     }
 
     private static String request(String id, String headers) {
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -200,6 +200,35 @@
         assertEquals(history(readChain(newProgramStore(new Faults()), "other", "b")), "in1 out1\nin2 out2\n");
     }
 
+    /** Guards against a chain of which only the last turn is found, since the ids in rows were escaped a second time. */
+    @Test
+    public void continuesTurnOfAProgramWithAnEscapedId() {
+        storeTurn(firstHost, "p/q", "a", TurnChain.EMPTY, "in1 ", "out1\n");
+        storeTurn(firstHost, "p/q", "b", readChain(firstHost, "p/q", "a"), "in2 ", "out2\n");
+        assertEquals(history(readChain(secondHost, "p/q", "b")), "in1 out1\nin2 out2\n");
+        assertEquals(history(readChain(newProgramStore(new Faults()), "other", "b")), "in1 out1\nin2 out2\n");
+    }
+
+    /** Guards against a customer that reads the turns of another one, or that cannot go on with those of before. */
+    @Test
+    public void turnOfAnotherCustomerIsMissing() {
+        storeTurn(firstHost, "old", "a", TurnChain.EMPTY, "in1 ", "out1\n");
+        StoredTurn owned = new StoredTurn("", "", bytes("in2 "), bytes("out2\n"), "s", clock.nowMs(), "t1");
+        reserve(firstHost, "p", "b", 1, 1_000);
+        assertEquals(settle(firstHost, "p", "b", 1, owned), UpdateResult.COMMITTED);
+        // The same id in a program of the other customer.
+        reserve(firstHost, "q", "b", 1, 1_000);
+        StoredTurn other = new StoredTurn("", "", bytes("in3 "), bytes("out3\n"), "s", clock.nowMs(), "t2");
+        assertEquals(settle(firstHost, "q", "b", 1, other), UpdateResult.COMMITTED);
+        for (ProgramStore host : List.of(firstHost, newProgramStore(new Faults()))) {
+            assertEquals(history(readChain(host, "x", "b", "t1")), "in2 out2\n");
+            assertEquals(history(readChain(host, "p", "b", "t2")), "in3 out3\n");
+            assertEquals(history(readChain(host, "x", "a", "t1")), "in1 out1\n");
+            assertEquals(readChain(host, "p", "b", "t3"), readChain(host, "p", "none", "t3"));
+            assertEquals(readChain(host, "p", "b", "").status(), TurnChain.Status.MISSING);
+        }
+    }
+
     @Test
     public void reportsMissingTurnOnlyWhenAllPartitionsAnswered() {
         assertEquals(readChain(firstHost, "p", "none").status(), TurnChain.Status.MISSING);
@@ -501,6 +530,13 @@
         return found.get();
     }
 
+    private TurnChain readChain(ProgramStore programStore, String program, String previousTurn, String customer) {
+        AtomicReference<TurnChain> found = new AtomicReference<>();
+        programStore.readChain(program, previousTurn, customer, clock.nowMs(), found::set);
+        clock.advance(1_000);
+        return found.get();
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
