Choose servers by expected completion time

Cause: the selector compares numbers of requests in flight only, so that a server at a third of the speed gets as many requests as the others.

Change: loads, load limits and rendezvous weights are scaled by the learned speeds. Plain servers within half a request of the least expected completion time are chosen by key and speed, so that hosts with inexact loads don't all choose the fastest. The selector is split into classes for engines, plain servers, groups and outliers.

--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -1,41 +1,28 @@
 package org.celerygw.core.servers;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * Selects the backend server for a request. For engines, requests with the same affinity key go to the same engine by
  * rendezvous hashing (highest random weight) with bounded load, preferably to the subset of the engines in the host's
  * availability zone that its group of hosts uses. Prompts cached on an engine are reused that way without coordination
- * between hosts. For other services, the least loaded server is selected, preferably in the host's zone.
+ * between hosts. For other services, the least loaded server is selected, preferably in the host's zone. Loads are scaled by
+ * the speeds of the servers.
  */
 public final class ServerSelector {
-    /** The load limit of an engine is this factor times the mean load, plus {@link #LOAD_ALLOWANCE_REQUESTS}. */
-    private static final double MAX_LOAD_FACTOR = 1.3;
-
-    private static final int LOAD_ALLOWANCE_REQUESTS = 3;
-
     private static final int REQUESTS_AHEAD_OF_SLOTS = 1;
 
-    /** Other groups' engines are used up to this share of their slots, since their load is known less exactly. */
-    private static final double OTHER_GROUPS_MAX_SHARE = 0.5;
-
-    private static final int BORROW_CHOICES = 2;
-
-    private final String zone;
+    private final EngineGroup group;
+    private final EngineSelector engineSelector;
+    private final PlainSelector plainSelector;
     private final Consumer<TrackedServer> onPermitNeeded;
-    private int groupIndex;
-    private int groupCount = 1;
     private int firstAsked;
     private ToIntFunction<String> memoryTokens = service -> 0;
 
@@ -46,7 +33,9 @@
      * @param onPermitNeeded called with a server that would be selected if this host had a permit under its request limit
      */
     public ServerSelector(String zone, Consumer<TrackedServer> onPermitNeeded) {
-        this.zone = zone;
+        this.group = new EngineGroup(zone);
+        this.engineSelector = new EngineSelector(group, new Spillover());
+        this.plainSelector = new PlainSelector(group);
         this.onPermitNeeded = onPermitNeeded;
     }
 
@@ -57,8 +46,7 @@
      * @param count the number of groups in the host's zone
      */
     public void setGroup(int index, int count) {
-        groupIndex = index;
-        groupCount = count;
+        group.set(index, count);
     }
 
     /**
@@ -111,13 +99,18 @@
      */
     public Optional<TrackedServer> selectEngine(List<TrackedServer> servers, Placement placement, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, placement.excludedIds(), nowMs);
-        double loadLimit = loadLimit(candidates, nowMs);
-        Optional<TrackedServer> first = selectEngine(servers, candidates, placement, loadLimit);
+        double loadLimit = EngineSelector.loadLimit(candidates, nowMs);
+        Predicate<TrackedServer> hasRoom = server -> hasRoom(server, placement.tokens());
+        List<TrackedServer> notSlow = Outliers.eject(candidates, nowMs);
+        Optional<TrackedServer> first = engineSelector.select(servers, notSlow, placement, hasRoom, loadLimit, nowMs);
+        if (first.isEmpty() && notSlow.size() < candidates.size()) {
+            first = engineSelector.select(servers, candidates, placement, hasRoom, loadLimit, nowMs);
+        }
         if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
             return first;
         }
         onPermitNeeded.accept(first.get());
-        return selectOtherEngine(allowed(candidates, nowMs), placement, loadLimit);
+        return EngineSelector.selectOfAll(allowed(candidates, nowMs), placement, hasRoom, loadLimit, nowMs);
     }
 
     /**
@@ -139,87 +132,6 @@
         return selectEngine(servers, new Placement(affinityKey, previousServer, excludedIds, 0), nowMs);
     }
 
-    /**
-     * Selects an engine for a request whose own engine needs a permit: any of the fleet, in whatever zone. The engines of
-     * a group or a zone may nearly all have a limit, and the others then take the requests of all groups evenly.
-     */
-    private Optional<TrackedServer> selectOtherEngine(
-            List<TrackedServer> allowed, Placement placement, double loadLimit) {
-        List<TrackedServer> withRoom = allowed.stream()
-                .filter(server -> hasRoom(server, placement.tokens()))
-                .toList();
-        return withRoom.stream()
-                .filter(server ->
-                        server.entry().id().equals(placement.previousServer()) && server.load() < 2 * loadLimit)
-                .findFirst()
-                .or(() -> withRoom.stream()
-                        .filter(server -> server.load() < loadLimit)
-                        .max(Comparator.comparing(server -> rendezvousWeight(server, placement.affinityKey()))))
-                .or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
-    }
-
-    /** Engines with a request limit have little load; it says nothing about how much the others should have. */
-    private static double loadLimit(List<TrackedServer> candidates, long nowMs) {
-        double meanLoad = candidates.stream()
-                .filter(server -> !server.limit().isInForce(nowMs))
-                .mapToInt(TrackedServer::load)
-                .average()
-                .orElse(0);
-        return meanLoad * MAX_LOAD_FACTOR + LOAD_ALLOWANCE_REQUESTS;
-    }
-
-    private Optional<TrackedServer> selectEngine(
-            List<TrackedServer> servers, List<TrackedServer> candidates, Placement placement, double loadLimit) {
-        if (candidates.isEmpty()) {
-            return Optional.empty();
-        }
-        Optional<TrackedServer> previous = candidates.stream()
-                .filter(server -> server.entry().id().equals(placement.previousServer()))
-                .filter(server -> server.load() < 2 * loadLimit && hasRoom(server, placement.tokens()))
-                .findFirst();
-        if (previous.isPresent()) {
-            return previous;
-        }
-        Set<TrackedServer> subset = subset(servers, candidates);
-        Comparator<TrackedServer> byWeight =
-                Comparator.comparing(server -> rendezvousWeight(server, placement.affinityKey()));
-        // Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error.
-        Stream<TrackedServer> borrowed = candidates.stream()
-                .filter(server -> !subset.contains(server))
-                .sorted(byWeight.reversed())
-                .limit(groupCount == 1 ? candidates.size() : BORROW_CHOICES)
-                .filter(this::mayBorrow);
-        List<TrackedServer> withRoom = Stream.concat(subset.stream(), borrowed)
-                .filter(server -> hasRoom(server, placement.tokens()))
-                .toList();
-        Optional<TrackedServer> preferred = withRoom.stream()
-                .filter(server -> server.load() < loadLimit)
-                .max(Comparator.<TrackedServer>comparingInt(
-                                server -> subset.contains(server) ? 2 : isInLocalZone(server) ? 1 : 0)
-                        .thenComparing(byWeight));
-        return preferred.or(() -> withRoom.stream().min(Comparator.comparingInt(TrackedServer::load)));
-    }
-
-    /**
-     * Returns the candidates in the host's zone that its group uses: all of the zone if it has one group of hosts. If
-     * there are none, because they are leaving or the zone has no engine, the group uses all candidates.
-     */
-    private Set<TrackedServer> subset(List<TrackedServer> servers, List<TrackedServer> candidates) {
-        List<TrackedServer> local = servers.stream().filter(this::isInLocalZone).toList();
-        int parts = Math.min(groupCount, local.size());
-        Set<TrackedServer> subset = IntStream.range(0, local.size())
-                .filter(i -> i * parts / local.size() == groupIndex * parts / groupCount)
-                .mapToObj(local::get)
-                .filter(candidates::contains)
-                .collect(Collectors.toCollection(LinkedHashSet::new));
-        return subset.isEmpty() ? new LinkedHashSet<>(candidates) : subset;
-    }
-
-    private boolean mayBorrow(TrackedServer server) {
-        return groupCount == 1
-                || server.load() < OTHER_GROUPS_MAX_SHARE * server.entry().slots();
-    }
-
     /**
      * Returns whether any server can be selected, full or not.
      *
@@ -243,15 +155,15 @@
      */
     public int freeRoom(List<TrackedServer> servers, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, Set.of(), nowMs);
-        Set<TrackedServer> subset = subset(servers, candidates);
+        Set<TrackedServer> subset = group.subset(servers, candidates);
         boolean limited = subset.stream().anyMatch(server -> server.limit().isInForce(nowMs));
         long sum = candidates.stream()
-                .filter(server -> groupCount == 1 || limited || subset.contains(server))
+                .filter(server -> group.count() == 1 || limited || subset.contains(server))
                 .filter(server -> !server.limit().isInForce(nowMs))
                 .mapToLong(server -> Math.max(0, slotRoom(server)))
                 .sum();
         long ownPart =
-                groupCount > 1 && limited ? (sum * subset.size() + candidates.size() - 1) / candidates.size() : sum;
+                group.count() > 1 && limited ? (sum * subset.size() + candidates.size() - 1) / candidates.size() : sum;
         return (int) Math.min(Integer.MAX_VALUE, ownPart);
     }
 
@@ -305,15 +217,12 @@
     public Optional<TrackedServer> selectServer(
             List<TrackedServer> servers, Set<String> excludedIds, String affinityKey, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
-        Comparator<TrackedServer> byLoad = Comparator.<TrackedServer>comparingInt(
-                        server -> 2 * server.load() + (isInLocalZone(server) ? 0 : 1))
-                .thenComparing(server -> rendezvousWeight(server, affinityKey));
-        Optional<TrackedServer> first = candidates.stream().min(byLoad);
+        Optional<TrackedServer> first = plainSelector.select(Outliers.eject(candidates, nowMs), affinityKey, nowMs);
         if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
             return first;
         }
         onPermitNeeded.accept(first.get());
-        return allowed(candidates, nowMs).stream().min(byLoad);
+        return plainSelector.select(allowed(candidates, nowMs), affinityKey, nowMs);
     }
 
     private static List<TrackedServer> allowed(List<TrackedServer> servers, long nowMs) {
@@ -358,18 +267,4 @@
     private boolean hasMemory(TrackedServer server, long tokens) {
         return server.hasMemory(tokens, memoryTokens.applyAsInt(server.entry().service()));
     }
-
-    private boolean isInLocalZone(TrackedServer server) {
-        return server.entry().zone().equals(zone);
-    }
-
-    private static long rendezvousWeight(TrackedServer server, String affinityKey) {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putString(server.entry().id(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putString(affinityKey, StandardCharsets.UTF_8)
-                .hash()
-                .asLong();
-    }
 }
--- a/core/src/main/java/org/celerygw/core/servers/ServerSpeed.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSpeed.java
@@ -217,9 +217,9 @@
 
     /** Returns whether a slow server should get a request, since no host has tried it lately. */
     boolean needsTrial(long nowMs) {
-        return nowMs - lastTrialMs >= TRIAL_INTERVAL_MS
-                && sampleAgeMs(nowMs) >= TRIAL_INTERVAL_MS
-                && slowness(nowMs) > SLOW_FACTOR;
+        return slowness(nowMs) > SLOW_FACTOR
+                && nowMs - lastTrialMs >= TRIAL_INTERVAL_MS
+                && sampleAgeMs(nowMs) >= TRIAL_INTERVAL_MS;
     }
 
     void recordTrial(long nowMs) {
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -231,7 +231,8 @@
      * @return true if other servers should be preferred
      */
     public boolean hasHighLocalFailureRate(long nowMs) {
-        return failureRateAt(nowMs) > HIGH_FAILURE_RATE;
+        // It only decays, so that a low rate need not be computed.
+        return failureRate > HIGH_FAILURE_RATE && failureRateAt(nowMs) > HIGH_FAILURE_RATE;
     }
 
     /**
--- a/core/src/test/java/org/celerygw/core/servers/RecordedDecisionsTest.java
+++ b/core/src/test/java/org/celerygw/core/servers/RecordedDecisionsTest.java
@@ -83,7 +83,7 @@
                     .filter(s -> s.entry().id().equals("s" + i))
                     .findFirst()
                     .orElseThrow();
-            server.setPeersInFlight(loadBound * random.nextDouble());
+            server.setPeersLoad(new PeersLoad(loadBound * random.nextDouble(), 0, 0, 0), 0);
             if (random.nextInt(30) == 0) {
                 server.limit().recordResponse(1, NOW_MS);
             }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -171,6 +171,7 @@
         metrics.registerQueue(engineQueue);
         metrics.registerLinks(links, originPools);
         metrics.registerServerProtection(servers, permits, quarantine, clock);
+        metrics.registerServerSpeeds(servers, clock);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -115,6 +115,23 @@
                 "celerygw_permit_replies_lost_total", "Requests for permits without a reply", permits::lostReplies);
     }
 
+    /** Registers the metrics of the learned speeds; without one for each server, of which there may be many. */
+    void registerServerSpeeds(ServerList servers, Clock clock) {
+        registerGauge(
+                "celerygw_slow_servers",
+                "Backend servers that are certainly slower than the mean of their service",
+                () -> servers.all().stream()
+                        .filter(server -> server.speed().slowness(clock.nowMs()) > 1)
+                        .count());
+        registerGauge(
+                "celerygw_server_slowness_max",
+                "Time of the slowest backend server for a unit of work, divided by the mean of its service",
+                () -> servers.all().stream()
+                        .mapToDouble(server -> server.speed().slowness(clock.nowMs()))
+                        .max()
+                        .orElse(1));
+    }
+
     /** Counts a completed call to the store and adds its duration to the histogram. */
     void recordStoreCall(String kind, String outcome, long durationMs) {
         storeCalls.labelValues(kind, outcome).inc();
