Keep the quotas of customers over all hosts together

Cause: a customer's rate and burst hold over all hosts, but no host knows what the others admit.

Change: core.limits.CustomerQuotas. The first host in a customer's rendezvous order that answers keeps a token bucket. Far from the limit, hosts send at once and report afterwards; near it, the account says so to all hosts and grants tokens for 400 ms. A host that reaches no account uses rate / hosts; an account grants the share of the limit of the hosts that its own host reaches, which it finds out by pings while an account is constrained. The schema gains QuotaReply.customer (for notices), account_age_ms and QuotaRequest.forwarded.

--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -149,37 +149,38 @@
       "\023\n\013limit_per_s\030\003 \001(\001\022\026\n\016returns_unused\030\004" +
       " \001(\010\"X\n\013PermitReply\022\n\n\002id\030\001 \001(\003\022,\n\006resul" +
       "t\030\002 \001(\0162\034.celerygw.peers.PermitResult\022\017\n" +
-      "\007wait_ms\030\003 \001(\005\"\255\001\n\014QuotaRequest\022\n\n\002id\030\001 " +
+      "\007wait_ms\030\003 \001(\005\"\300\001\n\014QuotaRequest\022\n\n\002id\030\001 " +
       "\001(\003\022\020\n\010customer\030\002 \001(\t\022\023\n\013used_tokens\030\003 \001" +
       "(\001\022\025\n\rwanted_tokens\030\004 \001(\001\022\027\n\017returned_to" +
       "kens\030\005 \001(\001\022\023\n\013limit_per_s\030\006 \001(\001\022\r\n\005burst" +
-      "\030\007 \001(\001\022\026\n\016config_version\030\010 \001(\003\"\211\001\n\nQuota" +
-      "Reply\022\n\n\002id\030\001 \001(\003\022\025\n\rkeeps_account\030\002 \001(\010" +
-      "\022\026\n\016granted_tokens\030\003 \001(\001\022\023\n\013validity_ms\030" +
-      "\004 \001(\005\022\026\n\016retry_after_ms\030\005 \001(\005\022\023\n\013constra" +
-      "ined\030\006 \001(\010\"1\n\014CustomerWork\022\020\n\010customer\030\001" +
-      " \001(\007\022\017\n\007work_ms\030\002 \001(\002\"^\n\010ZoneRoom\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\022\n\nfree_slots\030\003" +
-      " \001(\005\022\017\n\007waiting\030\004 \001(\005\022\016\n\006age_ms\030\005 \001(\005\",\n" +
-      "\007Waiting\022\021\n\tunder_way\030\001 \001(\005\022\016\n\006others\030\002 " +
-      "\001(\005\"\250\001\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\021\n\tin" +
-      "_flight\030\002 \001(\005\022\020\n\010doubtful\030\003 \001(\010\022\023\n\013limit" +
-      "_per_s\030\004 \001(\001\022\024\n\014limit_age_ms\030\005 \001(\005\022\016\n\006to" +
-      "kens\030\006 \001(\003\022\022\n\nservice_ms\030\007 \001(\002\022\026\n\016servic" +
-      "e_age_ms\030\010 \001(\005\"\301\001\n\013RelayedCall\022\021\n\tpartit" +
-      "ion\030\001 \001(\005\022-\n\005write\030\002 \001(\0132\034.celerygw.stor" +
-      "e.WriteRequestH\000\022+\n\004read\030\003 \001(\0132\033.celeryg" +
-      "w.store.ReadRequestH\000\022+\n\004scan\030\004 \001(\0132\033.ce" +
-      "lerygw.store.ScanRequestH\000\022\016\n\004feed\030\005 \001(\t" +
-      "H\000B\006\n\004call\"\233\001\n\014RelayedReply\022-\n\007written\030\001" +
-      " \001(\0132\032.celerygw.store.WriteReplyH\000\022)\n\004ro" +
-      "ws\030\002 \001(\0132\031.celerygw.store.RowsReplyH\000\022(\n" +
-      "\004feed\030\003 \001(\0132\030.celerygw.peers.FeedRowsH\000B" +
-      "\007\n\005reply\"C\n\010FeedRows\022\017\n\007version\030\001 \001(\003\022&\n" +
-      "\004rows\030\002 \003(\0132\030.celerygw.store.TableRow*5\n" +
-      "\014PermitResult\022\r\n\tELSEWHERE\020\000\022\013\n\007GRANTED\020" +
-      "\001\022\t\n\005LATER\020\002B\037\n\033org.celerygw.core.gen.pe" +
-      "ersP\001b\006proto3"
+      "\030\007 \001(\001\022\026\n\016config_version\030\010 \001(\003\022\021\n\tforwar" +
+      "ded\030\t \001(\010\"\263\001\n\nQuotaReply\022\n\n\002id\030\001 \001(\003\022\025\n\r" +
+      "keeps_account\030\002 \001(\010\022\026\n\016granted_tokens\030\003 " +
+      "\001(\001\022\023\n\013validity_ms\030\004 \001(\005\022\026\n\016retry_after_" +
+      "ms\030\005 \001(\005\022\023\n\013constrained\030\006 \001(\010\022\020\n\010custome" +
+      "r\030\007 \001(\t\022\026\n\016account_age_ms\030\010 \001(\003\"1\n\014Custo" +
+      "merWork\022\020\n\010customer\030\001 \001(\007\022\017\n\007work_ms\030\002 \001" +
+      "(\002\"^\n\010ZoneRoom\022\017\n\007service\030\001 \001(\t\022\014\n\004zone\030" +
+      "\002 \001(\t\022\022\n\nfree_slots\030\003 \001(\005\022\017\n\007waiting\030\004 \001" +
+      "(\005\022\016\n\006age_ms\030\005 \001(\005\",\n\007Waiting\022\021\n\tunder_w" +
+      "ay\030\001 \001(\005\022\016\n\006others\030\002 \001(\005\"\250\001\n\nServerLoad\022" +
+      "\016\n\006server\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010do" +
+      "ubtful\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014lim" +
+      "it_age_ms\030\005 \001(\005\022\016\n\006tokens\030\006 \001(\003\022\022\n\nservi" +
+      "ce_ms\030\007 \001(\002\022\026\n\016service_age_ms\030\010 \001(\005\"\301\001\n\013" +
+      "RelayedCall\022\021\n\tpartition\030\001 \001(\005\022-\n\005write\030" +
+      "\002 \001(\0132\034.celerygw.store.WriteRequestH\000\022+\n" +
+      "\004read\030\003 \001(\0132\033.celerygw.store.ReadRequest" +
+      "H\000\022+\n\004scan\030\004 \001(\0132\033.celerygw.store.ScanRe" +
+      "questH\000\022\016\n\004feed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014Rela" +
+      "yedReply\022-\n\007written\030\001 \001(\0132\032.celerygw.sto" +
+      "re.WriteReplyH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw" +
+      ".store.RowsReplyH\000\022(\n\004feed\030\003 \001(\0132\030.celer" +
+      "ygw.peers.FeedRowsH\000B\007\n\005reply\"C\n\010FeedRow" +
+      "s\022\017\n\007version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celer" +
+      "ygw.store.TableRow*5\n\014PermitResult\022\r\n\tEL" +
+      "SEWHERE\020\000\022\013\n\007GRANTED\020\001\022\t\n\005LATER\020\002B\037\n\033org" +
+      ".celerygw.core.gen.peersP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -233,13 +234,13 @@
     internal_static_celerygw_peers_QuotaRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_QuotaRequest_descriptor,
-        new java.lang.String[] { "Id", "Customer", "UsedTokens", "WantedTokens", "ReturnedTokens", "LimitPerS", "Burst", "ConfigVersion", });
+        new java.lang.String[] { "Id", "Customer", "UsedTokens", "WantedTokens", "ReturnedTokens", "LimitPerS", "Burst", "ConfigVersion", "Forwarded", });
     internal_static_celerygw_peers_QuotaReply_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_celerygw_peers_QuotaReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_QuotaReply_descriptor,
-        new java.lang.String[] { "Id", "KeepsAccount", "GrantedTokens", "ValidityMs", "RetryAfterMs", "Constrained", });
+        new java.lang.String[] { "Id", "KeepsAccount", "GrantedTokens", "ValidityMs", "RetryAfterMs", "Constrained", "Customer", "AccountAgeMs", });
     internal_static_celerygw_peers_CustomerWork_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_celerygw_peers_CustomerWork_fieldAccessorTable = new
--- a/core/src/main/java/org/celerygw/core/gen/peers/QuotaReply.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/QuotaReply.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private QuotaReply() {
+    customer_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -130,6 +131,68 @@
     return constrained_;
   }
 
+  public static final int CUSTOMER_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object customer_ = "";
+  /**
+   * <pre>
+   * only in a notice, which has no id and follows no request
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The customer.
+   */
+  @java.lang.Override
+  public java.lang.String getCustomer() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      customer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * only in a notice, which has no id and follows no request
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The bytes for customer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCustomerBytes() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      customer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ACCOUNT_AGE_MS_FIELD_NUMBER = 8;
+  private long accountAgeMs_ = 0L;
+  /**
+   * <pre>
+   * time since the account was opened
+   * </pre>
+   *
+   * <code>int64 account_age_ms = 8;</code>
+   * @return The accountAgeMs.
+   */
+  @java.lang.Override
+  public long getAccountAgeMs() {
+    return accountAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +225,12 @@
     if (constrained_ != false) {
       output.writeBool(6, constrained_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, customer_);
+    }
+    if (accountAgeMs_ != 0L) {
+      output.writeInt64(8, accountAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -195,6 +264,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, constrained_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, customer_);
+    }
+    if (accountAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, accountAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -223,6 +299,10 @@
         != other.getRetryAfterMs()) return false;
     if (getConstrained()
         != other.getConstrained()) return false;
+    if (!getCustomer()
+        .equals(other.getCustomer())) return false;
+    if (getAccountAgeMs()
+        != other.getAccountAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -250,6 +330,11 @@
     hash = (37 * hash) + CONSTRAINED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getConstrained());
+    hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+    hash = (53 * hash) + getCustomer().hashCode();
+    hash = (37 * hash) + ACCOUNT_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAccountAgeMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -387,6 +472,8 @@
       validityMs_ = 0;
       retryAfterMs_ = 0;
       constrained_ = false;
+      customer_ = "";
+      accountAgeMs_ = 0L;
       return this;
     }
 
@@ -438,6 +525,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.constrained_ = constrained_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.customer_ = customer_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.accountAgeMs_ = accountAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -470,6 +563,14 @@
       if (other.getConstrained() != false) {
         setConstrained(other.getConstrained());
       }
+      if (!other.getCustomer().isEmpty()) {
+        customer_ = other.customer_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (other.getAccountAgeMs() != 0L) {
+        setAccountAgeMs(other.getAccountAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -526,6 +627,16 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              customer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              accountAgeMs_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -783,6 +894,142 @@
       return this;
     }
 
+    private java.lang.Object customer_ = "";
+    /**
+     * <pre>
+     * only in a notice, which has no id and follows no request
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return The customer.
+     */
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * only in a notice, which has no id and follows no request
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return The bytes for customer.
+     */
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * only in a notice, which has no id and follows no request
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @param value The customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      customer_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a notice, which has no id and follows no request
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomer() {
+      customer_ = getDefaultInstance().getCustomer();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * only in a notice, which has no id and follows no request
+     * </pre>
+     *
+     * <code>string customer = 7;</code>
+     * @param value The bytes for customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      customer_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long accountAgeMs_ ;
+    /**
+     * <pre>
+     * time since the account was opened
+     * </pre>
+     *
+     * <code>int64 account_age_ms = 8;</code>
+     * @return The accountAgeMs.
+     */
+    @java.lang.Override
+    public long getAccountAgeMs() {
+      return accountAgeMs_;
+    }
+    /**
+     * <pre>
+     * time since the account was opened
+     * </pre>
+     *
+     * <code>int64 account_age_ms = 8;</code>
+     * @param value The accountAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountAgeMs(long value) {
+
+      accountAgeMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * time since the account was opened
+     * </pre>
+     *
+     * <code>int64 account_age_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccountAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      accountAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.QuotaReply)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/QuotaReplyOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/QuotaReplyOrBuilder.java
@@ -61,4 +61,34 @@
    * @return The constrained.
    */
   boolean getConstrained();
+
+  /**
+   * <pre>
+   * only in a notice, which has no id and follows no request
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The customer.
+   */
+  java.lang.String getCustomer();
+  /**
+   * <pre>
+   * only in a notice, which has no id and follows no request
+   * </pre>
+   *
+   * <code>string customer = 7;</code>
+   * @return The bytes for customer.
+   */
+  com.google.protobuf.ByteString
+      getCustomerBytes();
+
+  /**
+   * <pre>
+   * time since the account was opened
+   * </pre>
+   *
+   * <code>int64 account_age_ms = 8;</code>
+   * @return The accountAgeMs.
+   */
+  long getAccountAgeMs();
 }
--- a/core/src/main/java/org/celerygw/core/gen/peers/QuotaRequest.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/QuotaRequest.java
@@ -193,6 +193,21 @@
     return configVersion_;
   }
 
+  public static final int FORWARDED_FIELD_NUMBER = 9;
+  private boolean forwarded_ = false;
+  /**
+   * <pre>
+   * passed on by a host that does not keep the account
+   * </pre>
+   *
+   * <code>bool forwarded = 9;</code>
+   * @return The forwarded.
+   */
+  @java.lang.Override
+  public boolean getForwarded() {
+    return forwarded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -231,6 +246,9 @@
     if (configVersion_ != 0L) {
       output.writeInt64(8, configVersion_);
     }
+    if (forwarded_ != false) {
+      output.writeBool(9, forwarded_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -271,6 +289,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(8, configVersion_);
     }
+    if (forwarded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, forwarded_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -307,6 +329,8 @@
             other.getBurst())) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (getForwarded()
+        != other.getForwarded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -341,6 +365,9 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + FORWARDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getForwarded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -484,6 +511,7 @@
       limitPerS_ = 0D;
       burst_ = 0D;
       configVersion_ = 0L;
+      forwarded_ = false;
       return this;
     }
 
@@ -541,6 +569,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.forwarded_ = forwarded_;
+      }
     }
 
     @java.lang.Override
@@ -581,6 +612,9 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (other.getForwarded() != false) {
+        setForwarded(other.getForwarded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -647,6 +681,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              forwarded_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1032,6 +1071,50 @@
       return this;
     }
 
+    private boolean forwarded_ ;
+    /**
+     * <pre>
+     * passed on by a host that does not keep the account
+     * </pre>
+     *
+     * <code>bool forwarded = 9;</code>
+     * @return The forwarded.
+     */
+    @java.lang.Override
+    public boolean getForwarded() {
+      return forwarded_;
+    }
+    /**
+     * <pre>
+     * passed on by a host that does not keep the account
+     * </pre>
+     *
+     * <code>bool forwarded = 9;</code>
+     * @param value The forwarded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setForwarded(boolean value) {
+
+      forwarded_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * passed on by a host that does not keep the account
+     * </pre>
+     *
+     * <code>bool forwarded = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearForwarded() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      forwarded_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:celerygw.peers.QuotaRequest)
   }
 
--- a/core/src/main/java/org/celerygw/core/gen/peers/QuotaRequestOrBuilder.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/QuotaRequestOrBuilder.java
@@ -87,4 +87,14 @@
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <pre>
+   * passed on by a host that does not keep the account
+   * </pre>
+   *
+   * <code>bool forwarded = 9;</code>
+   * @return The forwarded.
+   */
+  boolean getForwarded();
 }
--- /dev/null
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -0,0 +1,773 @@
+package org.celerygw.core.limits;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.id.CustomerId;
+import org.celerygw.core.routes.Customer;
+import org.celerygw.core.routes.RateLimit;
+import org.celerygw.core.time.Clock;
+import org.celerygw.core.turns.Scheduler;
+
+/**
+ * Keeps the quotas of customers over all hosts together. For each customer, the host with the highest rendezvous weight
+ * among those that answer keeps an account. While the account is far from its limit, hosts send requests at once and
+ * report them afterwards. When it comes near, the account's host says so to all others, and a request then needs a token
+ * that the account has granted. A host that reaches no account may use its share of the rate. Not thread-safe.
+ */
+public final class CustomerQuotas {
+    /** How long granted tokens are valid, in ms, by the clock of the host that asked, from when it asked. */
+    static final long VALIDITY_MS = 400;
+    /** How long a request waits for the account's answer, in ms. */
+    static final long WAIT_MS = 90;
+
+    private static final long BATCH_MS = 25;
+    private static final long PREFETCH_MS = 50;
+    private static final long REPLY_TIMEOUT_MS = 85;
+    /** A lost message does not let requests wait for the whole time-out. */
+    private static final long REPEAT_MS = 30;
+
+    /** Shorter than the time-out of the host that asked, so that it learns which of the two hosts is silent. */
+    private static final long FORWARD_TIMEOUT_MS = 40;
+
+    private static final long ELSEWHERE_MS = 100;
+    private static final int MAX_KEEPERS_ASKED = 3;
+    private static final long NOTICE_MS = 2_000;
+    /** Longer than the time between two notices, so that one lost notice does not end the constraint. */
+    private static final long CONSTRAINED_MS = 5_000;
+
+    private static final long REFUSED_MS = 100;
+    private static final long TICK_MS = 200;
+    private static final long ACTIVE_MS = 5_000;
+    /** A host that ran nothing for this long may have been replaced as the account's host. */
+    private static final long PAUSE_MS = 600;
+    /** The time until the account's host has noticed that others do not reach it. */
+    private static final long ISOLATION_MS = 3_000;
+    /** Until this long after a host was lost or started, another one may have kept an account. */
+    private static final long SETTLE_MS = 10_000;
+
+    private static final int PINGS_PER_TICK = 3;
+    private static final int PINGS_AFTER_LOSS = 12;
+    private static final long LOSS_INTERVAL_MS = 1_000;
+    private static final int ANNOUNCED_HOSTS = 2;
+    private static final int MAX_CUSTOMERS = 5_000;
+
+    private final String host;
+    private final Clock clock;
+    private final Scheduler scheduler;
+    private final QuotaBounds bounds;
+    private final Network network;
+    private final KeeperOrder order;
+    private final ReachEstimate reach = new ReachEstimate();
+    private final Map<String, CustomerLease> leases = new LruMap<>();
+    private final Map<String, QuotaAccount> accounts = new LruMap<>();
+    private final Map<String, Optional<String>> keepers = new LruMap<>();
+    private final Map<Long, Sent> sent = new HashMap<>();
+    private long nextRequestId;
+    private long enteredMs;
+    private long usedMs;
+    private long constrainedMs = Long.MIN_VALUE / 2;
+    private long keepersVersion;
+    private long checkedVersion;
+    private int nextPing;
+    private int nextSilent;
+    private long lossMs;
+    private boolean ticking;
+    private long lostReplies;
+
+    /** Reaches the other hosts. */
+    public interface Network {
+        /**
+         * Returns the other hosts of the fleet, down or not, except those that are stopping.
+         *
+         * @return their names
+         */
+        Collection<String> hosts();
+
+        /**
+         * Returns whether this host knows the others and is not stopping.
+         *
+         * @return false if it must not keep accounts
+         */
+        boolean mayKeep();
+
+        /**
+         * Sends a request to another host; it or its reply may be lost.
+         *
+         * @param host the name of the other host
+         * @param request the request
+         */
+        void send(String host, QuotaRequest request);
+
+        /**
+         * Sends a notice to another host; it may be lost.
+         *
+         * @param host the name of the other host
+         * @param notice a reply without id that names the customer
+         */
+        void sendNotice(String host, QuotaReply notice);
+
+        /**
+         * Tells another host that this one is alive; the message may be lost.
+         *
+         * @param host the name of the other host
+         */
+        void announce(String host);
+    }
+
+    /**
+     * The decision on one request.
+     *
+     * @param granted whether the request may be sent
+     * @param retryAfterMs when a refused request may come back, in ms
+     * @param accountAgeMs the age of the account that decided, in ms; 0 if no account did
+     * @param decidedBy the name of the host that decided
+     */
+    public record Decision(boolean granted, long retryAfterMs, long accountAgeMs, String decidedBy) {
+        private static final Decision GRANTED = new Decision(true, 0, 0, "");
+    }
+
+    /** What to do with the reply to a message, or without one. */
+    private interface ReplyHandler {
+        /** The answer only shows that the host is alive. */
+        ReplyHandler NONE = new ReplyHandler() {
+            @Override
+            public void onReply(QuotaReply reply) {}
+
+            @Override
+            public void onLost() {}
+        };
+
+        void onReply(QuotaReply reply);
+
+        void onLost();
+    }
+
+    private record Sent(String host, long sentMs, ReplyHandler handler) {}
+
+    /** A map that forgets the entry that was not used for longest. */
+    private static final class LruMap<V> extends LinkedHashMap<String, V> {
+        private static final long serialVersionUID = 1;
+
+        LruMap() {
+            super(64, 0.75f, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+            return size() > MAX_CUSTOMERS;
+        }
+    }
+
+    /**
+     * Creates the quotas of a host that has just started.
+     *
+     * @param host this host's name
+     * @param clock the time source
+     * @param scheduler runs timeouts
+     * @param bounds how closely quotas are kept
+     * @param network reaches the other hosts
+     */
+    public CustomerQuotas(String host, Clock clock, Scheduler scheduler, QuotaBounds bounds, Network network) {
+        this.host = host;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.bounds = bounds;
+        this.network = network;
+        this.order = new KeeperOrder(host, network::hosts, clock.nowMs());
+        this.enteredMs = clock.nowMs();
+        // Replies to an earlier process of this host must not match.
+        this.nextRequestId = clock.nowMs() << 20;
+    }
+
+    /**
+     * Decides whether a request may be sent. The callback runs during this call unless the customer is near its limit, and
+     * otherwise at most {@value #WAIT_MS} ms later.
+     *
+     * @param customer the customer
+     * @param configVersion the version of the configuration that holds its limit
+     * @param callback called once with the decision
+     */
+    public void acquire(Customer customer, long configVersion, Consumer<Decision> callback) {
+        if (!customer.limit().isLimited()) {
+            callback.accept(Decision.GRANTED);
+            return;
+        }
+        long nowMs = enter();
+        String name = customer.id().value();
+        CustomerLease lease = leases.computeIfAbsent(name, n -> new CustomerLease());
+        lease.configure(customer.limit(), configVersion);
+        lease.countDemand(nowMs);
+        Optional<String> keeper = keeper(name, lease);
+        if (keeper.equals(Optional.of(host))) {
+            callback.accept(decideHere(name, lease, nowMs));
+        } else if (lease.takeHeld(nowMs)) {
+            callback.accept(Decision.GRANTED);
+            prefetch(name, lease, nowMs);
+        } else if (nowMs >= lease.constrainedUntilMs && mayOwe(name, lease, keeper)) {
+            lease.usedTokens++;
+            lease.unacknowledgedTokens++;
+            callback.accept(Decision.GRANTED);
+            flush(name, lease);
+        } else if (nowMs < lease.refusedUntilMs) {
+            callback.accept(refusal(lease, nowMs));
+        } else if (keeper.isEmpty() && lease.notKeepers.isEmpty() && order.knowsHosts()) {
+            callback.accept(decideByShare(name, lease, nowMs));
+        } else {
+            await(name, lease, callback, nowMs);
+        }
+    }
+
+    /**
+     * Takes back the token of a request that no server has run.
+     *
+     * @param customer the customer
+     */
+    public void release(CustomerId customer) {
+        String name = customer.value();
+        CustomerLease lease = leases.get(name);
+        if (lease == null) {
+            return;
+        }
+        enter();
+        lease.returnedTokens++;
+        flush(name, lease);
+    }
+
+    /**
+     * Answers a request of another host.
+     *
+     * @param request the request
+     * @param callback called with the reply, now or when the account's host has answered
+     */
+    public void answer(QuotaRequest request, Consumer<QuotaReply> callback) {
+        long nowMs = enter();
+        String customer = request.getCustomer();
+        QuotaReply elsewhere = QuotaReply.newBuilder().setId(request.getId()).build();
+        Optional<String> keeper = customer.isEmpty() || !isValid(request) ? Optional.empty() : firstKeeper(customer);
+        if (keeper.equals(Optional.of(host))) {
+            QuotaAccount account = account(customer, limitOf(request), request.getConfigVersion(), nowMs);
+            callback.accept(serve(
+                            customer,
+                            account,
+                            request.getUsedTokens(),
+                            request.getReturnedTokens(),
+                            request.getWantedTokens(),
+                            nowMs)
+                    .setId(request.getId())
+                    .build());
+        } else if (keeper.isPresent() && !request.getForwarded()) {
+            accounts.remove(customer);
+            forward(keeper.get(), request, callback, elsewhere);
+        } else {
+            callback.accept(elsewhere);
+        }
+    }
+
+    /**
+     * Applies a reply or a notice of the host that keeps an account.
+     *
+     * @param reply the reply; ignored if it is too late or was not asked for
+     */
+    public void onReply(QuotaReply reply) {
+        long nowMs = enter();
+        if (!reply.getCustomer().isEmpty()) {
+            leases.computeIfAbsent(reply.getCustomer(), n -> new CustomerLease()).constrainedUntilMs =
+                    nowMs + Math.max(0, Math.min(CONSTRAINED_MS, reply.getValidityMs()));
+            return;
+        }
+        Sent message = sent.remove(reply.getId());
+        if (message != null) {
+            order.onAlive(message.host(), nowMs);
+            message.handler().onReply(reply);
+        }
+    }
+
+    /**
+     * Records a sign of life of another host.
+     *
+     * @param name the host's name
+     */
+    public void onHostAlive(String name) {
+        order.onAlive(name, clock.nowMs());
+    }
+
+    /**
+     * Returns how many messages to other hosts were not answered.
+     *
+     * @return the number since the start
+     */
+    public long lostReplies() {
+        return lostReplies;
+    }
+
+    /**
+     * Returns how many accounts this host keeps.
+     *
+     * @return the number of customers
+     */
+    public int accounts() {
+        return accounts.size();
+    }
+
+    // The host that keeps the account
+
+    private Decision decideHere(String customer, CustomerLease lease, long nowMs) {
+        QuotaAccount account = account(customer, lease.limit, lease.configVersion, nowMs);
+        refill(account, nowMs);
+        boolean free = !account.isConstrained(bounds, nowMs);
+        QuotaReply.Builder reply =
+                serve(customer, account, lease.usedTokens + (free ? 1 : 0), lease.returnedTokens, free ? 0 : 1, nowMs);
+        lease.usedTokens = 0;
+        lease.returnedTokens = 0;
+        return free || reply.getGrantedTokens() >= 1
+                ? Decision.GRANTED
+                : new Decision(false, reply.getRetryAfterMs(), reply.getAccountAgeMs(), host);
+    }
+
+    private QuotaAccount account(String customer, RateLimit limit, long configVersion, long nowMs) {
+        QuotaAccount account = accounts.get(customer);
+        if (account == null) {
+            account = new QuotaAccount(bounds, limit, configVersion, order.changedMs() + SETTLE_MS, nowMs);
+            accounts.put(customer, account);
+            announceTo(customer);
+        }
+        account.configure(limit, configVersion);
+        return account;
+    }
+
+    /** Another host may have kept the account so far, since it has not heard of this one. */
+    private void announceTo(String customer) {
+        order.candidates(customer)
+                .filter(candidate -> !candidate.equals(host))
+                .limit(ANNOUNCED_HOSTS)
+                .forEach(network::announce);
+    }
+
+    private QuotaReply.Builder serve(
+            String customer, QuotaAccount account, double used, double returned, double wanted, long nowMs) {
+        refill(account, nowMs);
+        account.giveBack(returned);
+        account.use(used);
+        boolean constrained = account.isConstrained(bounds, nowMs);
+        QuotaReply.Builder reply = QuotaReply.newBuilder()
+                .setKeepsAccount(true)
+                .setConstrained(constrained)
+                .setAccountAgeMs(account.ageMs(nowMs));
+        if (constrained) {
+            constrainedMs = nowMs;
+            double granted = account.grant(wanted);
+            reply.setGrantedTokens(granted).setValidityMs((int) VALIDITY_MS);
+            if (granted < wanted) {
+                reply.setRetryAfterMs((int) account.retryAfterMs(bounds.windowMs()));
+            }
+            sendNotices(customer, account, nowMs);
+        }
+        return reply;
+    }
+
+    private void sendNotices(String customer, QuotaAccount account, long nowMs) {
+        if (account.takeNotice(NOTICE_MS, nowMs)) {
+            QuotaReply notice = QuotaReply.newBuilder()
+                    .setCustomer(customer)
+                    .setKeepsAccount(true)
+                    .setConstrained(true)
+                    .setValidityMs((int) CONSTRAINED_MS)
+                    .build();
+            order.answering().forEach(other -> network.sendNotice(other, notice));
+        }
+    }
+
+    private void refill(QuotaAccount account, long nowMs) {
+        account.refill(grantedShare(nowMs), nowMs);
+    }
+
+    /**
+     * Returns the share of each limit that accounts here may grant: that of the hosts which this one reaches, since the
+     * others may keep accounts, too. Where most are reached, a few that are not stay within half of the overage.
+     */
+    private double grantedShare(long nowMs) {
+        double others = order.remembered(nowMs).size();
+        double answering = Math.min(1, order.answering().size() / Math.max(1, others));
+        double reached = (1 + Math.min(answering, reach.share()) * others) / (1 + others);
+        return Math.min(1, reached + (reached > 0.5 ? bounds.overage() / 2 : 0));
+    }
+
+    private void forward(String keeper, QuotaRequest request, Consumer<QuotaReply> callback, QuotaReply elsewhere) {
+        ReplyHandler handler = new ReplyHandler() {
+            @Override
+            public void onReply(QuotaReply reply) {
+                callback.accept(reply.toBuilder().setId(request.getId()).build());
+            }
+
+            @Override
+            public void onLost() {
+                callback.accept(elsewhere);
+            }
+        };
+        send(keeper, request.toBuilder().setForwarded(true), FORWARD_TIMEOUT_MS, handler);
+    }
+
+    private static boolean isValid(QuotaRequest request) {
+        return request.getLimitPerS() > 0
+                && request.getBurst() >= 0
+                && request.getBurst() < Double.POSITIVE_INFINITY
+                && request.getUsedTokens() >= 0
+                && request.getReturnedTokens() >= 0
+                && request.getWantedTokens() >= 0;
+    }
+
+    private static RateLimit limitOf(QuotaRequest request) {
+        return new RateLimit(request.getLimitPerS(), request.getBurst());
+    }
+
+    // The host that sends requests
+
+    private Decision refusal(CustomerLease lease, long nowMs) {
+        return new Decision(false, Math.max(1, lease.retryAtMs - nowMs), lease.accountAgeMs, lease.decidedBy);
+    }
+
+    /** Returns whether a request may be sent before the account's host knows of it. */
+    private boolean mayOwe(String customer, CustomerLease lease, Optional<String> keeper) {
+        if (keeper.isEmpty()) {
+            return false;
+        }
+        double excess = bounds.excess(lease.limit);
+        boolean reached =
+                lease.lostRequests == 0 && (lease.acknowledged || !order.hasSilentBefore(customer, keeper.get()));
+        double mostTokens = reached ? Math.max(1, excess / 8) : Math.floor(excess / 2 / order.size());
+        return lease.unacknowledgedTokens + 1 <= mostTokens;
+    }
+
+    private void await(String customer, CustomerLease lease, Consumer<Decision> callback, long nowMs) {
+        lease.waiting.add(new CustomerLease.Waiting(callback, nowMs));
+        scheduler.schedule(WAIT_MS, () -> decideOverdue(customer, lease));
+        flush(customer, lease);
+    }
+
+    /** Decides the requests that have waited for too long: none of the hosts that may keep the account answers. */
+    private void decideOverdue(String customer, CustomerLease lease) {
+        long nowMs = enter();
+        while (!lease.waiting.isEmpty() && nowMs - lease.waiting.peek().sinceMs() >= WAIT_MS) {
+            lease.waiting.remove().callback().accept(decideByShare(customer, lease, nowMs));
+        }
+    }
+
+    private Decision decideByShare(String customer, CustomerLease lease, long nowMs) {
+        lease.acknowledged = false;
+        double perS = lease.limit.perS() / order.size();
+        if (!lease.sharing) {
+            lease.beginShare(phase(customer), nowMs + ISOLATION_MS);
+        }
+        return lease.takeShare(perS, nowMs)
+                ? Decision.GRANTED
+                : new Decision(false, Math.min(bounds.windowMs(), lease.shareWaitMs(perS, nowMs)), 0, host);
+    }
+
+    /** Returns a number in [0, 1) that differs between hosts. */
+    private double phase(String customer) {
+        return Math.floorMod(KeeperOrder.weight(customer, host), 10_007L) / 10_007.0;
+    }
+
+    private void prefetch(String customer, CustomerLease lease, long nowMs) {
+        if (wantedTokens(lease, nowMs) > 0) {
+            flush(customer, lease);
+        }
+    }
+
+    private double wantedTokens(CustomerLease lease, long nowMs) {
+        double expected = nowMs < lease.constrainedUntilMs ? Math.floor(lease.expectedRequests(PREFETCH_MS)) : 0;
+        return lease.waiting.size() + Math.max(0, expected - lease.heldTokens(nowMs));
+    }
+
+    /** Reports what is to be reported: at once if a request waits, and otherwise in batches. */
+    private void flush(String customer, CustomerLease lease) {
+        long nowMs = clock.nowMs();
+        if (lease.asking || lease.limit.equals(RateLimit.NONE)) {
+            return;
+        }
+        long delayMs = lease.waiting.isEmpty() ? lease.askedMs + BATCH_MS - nowMs : 0;
+        if (delayMs <= 0) {
+            ask(customer, lease, nowMs);
+        } else if (!lease.flushScheduled) {
+            lease.flushScheduled = true;
+            scheduler.schedule(delayMs, () -> {
+                lease.flushScheduled = false;
+                enter();
+                flush(customer, lease);
+            });
+        }
+    }
+
+    private void ask(String customer, CustomerLease lease, long nowMs) {
+        double wanted = wantedTokens(lease, nowMs);
+        if (wanted == 0 && lease.usedTokens == 0 && lease.returnedTokens == 0) {
+            return;
+        }
+        Optional<String> keeper = keeper(customer, lease);
+        if (keeper.isEmpty()) {
+            return;
+        }
+        lease.askedMs = nowMs;
+        double used = lease.usedTokens;
+        double returned = lease.returnedTokens;
+        lease.usedTokens = 0;
+        lease.returnedTokens = 0;
+        if (keeper.get().equals(host)) {
+            QuotaAccount account = account(customer, lease.limit, lease.configVersion, nowMs);
+            apply(
+                    customer,
+                    lease,
+                    host,
+                    nowMs,
+                    serve(customer, account, used, returned, wanted, nowMs).build());
+            return;
+        }
+        lease.asking = true;
+        QuotaRequest.Builder request = QuotaRequest.newBuilder()
+                .setCustomer(customer)
+                .setUsedTokens(used)
+                .setReturnedTokens(returned)
+                .setWantedTokens(wanted)
+                .setLimitPerS(lease.limit.perS())
+                .setBurst(lease.limit.burst())
+                .setConfigVersion(lease.configVersion);
+        sendRepeatedly(keeper.get(), request, new ReplyHandler() {
+            @Override
+            public void onReply(QuotaReply reply) {
+                lease.asking = false;
+                if (reply.getKeepsAccount()) {
+                    apply(customer, lease, keeper.get(), nowMs, reply);
+                } else {
+                    onElsewhere(customer, lease, keeper.get(), used, returned);
+                }
+            }
+
+            @Override
+            public void onLost() {
+                lease.asking = false;
+                onUnanswered(customer, lease, used);
+            }
+        });
+    }
+
+    private void apply(String customer, CustomerLease lease, String keeper, long askedMs, QuotaReply reply) {
+        long nowMs = clock.nowMs();
+        lease.lostRequests = 0;
+        lease.acknowledged = true;
+        lease.sharing = false;
+        lease.unacknowledgedTokens = lease.usedTokens;
+        lease.accountAgeMs = reply.getAccountAgeMs();
+        lease.decidedBy = keeper;
+        if (reply.getConstrained()) {
+            lease.constrainedUntilMs = nowMs + CONSTRAINED_MS;
+            lease.hold(reply.getGrantedTokens(), askedMs + Math.min(VALIDITY_MS, reply.getValidityMs()), nowMs);
+            scheduleReturn(customer, lease);
+            if (reply.getRetryAfterMs() > 0) {
+                lease.retryAtMs = nowMs + reply.getRetryAfterMs();
+                lease.refusedUntilMs = nowMs + Math.min(REFUSED_MS, reply.getRetryAfterMs());
+            }
+        } else {
+            lease.constrainedUntilMs = 0;
+        }
+        decideWaiting(lease, reply, nowMs);
+        flush(customer, lease);
+    }
+
+    private void decideWaiting(CustomerLease lease, QuotaReply reply, long nowMs) {
+        List<CustomerLease.Waiting> decided = List.copyOf(lease.waiting);
+        lease.waiting.clear();
+        decided.forEach(waiting -> {
+            boolean granted = !reply.getConstrained() || lease.takeHeld(nowMs);
+            if (!reply.getConstrained()) {
+                lease.usedTokens++;
+                lease.unacknowledgedTokens++;
+            }
+            if (granted) {
+                waiting.callback().accept(Decision.GRANTED);
+            } else if (nowMs < lease.refusedUntilMs) {
+                waiting.callback().accept(refusal(lease, nowMs));
+            } else {
+                // It came after the message was sent, so that no token was asked for.
+                lease.waiting.add(waiting);
+            }
+        });
+    }
+
+    /** Returns tokens that were not used before they expired. */
+    private void scheduleReturn(String customer, CustomerLease lease) {
+        if (lease.heldTokens(clock.nowMs()) > 0) {
+            scheduler.schedule(VALIDITY_MS, () -> {
+                lease.heldTokens(enter());
+                flush(customer, lease);
+            });
+        }
+    }
+
+    private void onElsewhere(String customer, CustomerLease lease, String asked, double used, double returned) {
+        lease.notKeepers.add(asked);
+        scheduler.schedule(ELSEWHERE_MS, () -> {
+            lease.notKeepers.remove(asked);
+            enter();
+            flush(customer, lease);
+        });
+        lease.usedTokens += used;
+        lease.returnedTokens += returned;
+        flush(customer, lease);
+    }
+
+    /** Used tokens are reported again, so that they may count twice, but never not at all; returned ones are not. */
+    private void onUnanswered(String customer, CustomerLease lease, double used) {
+        lease.lostRequests++;
+        lease.usedTokens += used;
+        flush(customer, lease);
+    }
+
+    // Messages and time
+
+    private Optional<String> keeper(String customer, CustomerLease lease) {
+        if (lease.notKeepers.isEmpty()) {
+            return firstKeeper(customer);
+        }
+        return order.candidates(customer)
+                .limit(MAX_KEEPERS_ASKED)
+                .filter(candidate -> !lease.notKeepers.contains(candidate))
+                .findFirst();
+    }
+
+    private Optional<String> firstKeeper(String customer) {
+        if (keepersVersion != order.version()) {
+            keepersVersion = order.version();
+            keepers.clear();
+        }
+        return keepers.computeIfAbsent(customer, c -> order.candidates(c).findFirst());
+    }
+
+    /** Sends a message again until it is answered, since a reply that is late lets requests wait. */
+    private void sendRepeatedly(String receiver, QuotaRequest.Builder request, ReplyHandler handler) {
+        long id = send(receiver, request, REPLY_TIMEOUT_MS, handler);
+        for (long delayMs = REPEAT_MS; delayMs < REPLY_TIMEOUT_MS; delayMs += REPEAT_MS) {
+            scheduler.schedule(delayMs, () -> {
+                if (sent.containsKey(id)) {
+                    network.send(receiver, request.build());
+                }
+            });
+        }
+    }
+
+    private long send(String receiver, QuotaRequest.Builder request, long timeoutMs, ReplyHandler handler) {
+        long id = nextRequestId++;
+        long sentMs = clock.nowMs();
+        sent.put(id, new Sent(receiver, sentMs, handler));
+        scheduler.schedule(timeoutMs, () -> onTimeout(id, timeoutMs));
+        network.send(receiver, request.setId(id).build());
+        return id;
+    }
+
+    private void onTimeout(long id, long timeoutMs) {
+        long nowMs = enter();
+        Sent message = sent.remove(id);
+        if (message == null) {
+            return;
+        }
+        lostReplies++;
+        // A timer that fires late shows that this host was slow, not the other one.
+        if (nowMs - message.sentMs() < 2 * timeoutMs) {
+            boolean lost = order.onTimeout(message.host(), nowMs);
+            if (lost && nowMs - lossMs > LOSS_INTERVAL_MS) {
+                lossMs = nowMs;
+                ping(PINGS_AFTER_LOSS, nowMs);
+            }
+        }
+        message.handler().onLost();
+    }
+
+    /** Notes the time, and whether this host has run at all since the last one; returns the time. */
+    private long enter() {
+        long nowMs = clock.nowMs();
+        if (ticking && nowMs - enteredMs > PAUSE_MS) {
+            onPause(nowMs);
+        }
+        enteredMs = nowMs;
+        usedMs = nowMs;
+        order.refresh(network.mayKeep(), nowMs);
+        startTicking();
+        return nowMs;
+    }
+
+    /** Other hosts may have kept the accounts meanwhile; granted tokens may count as returned. */
+    private void onPause(long nowMs) {
+        accounts.forEach((customer, account) -> {
+            account.skip(nowMs);
+            announceTo(customer);
+        });
+        leases.values().forEach(CustomerLease::dropHeld);
+    }
+
+    private void startTicking() {
+        if (!ticking) {
+            ticking = true;
+            scheduler.schedule(TICK_MS, this::tick);
+        }
+    }
+
+    private void tick() {
+        long beforeMs = usedMs;
+        long nowMs = enter();
+        usedMs = beforeMs;
+        if (nowMs - usedMs > ACTIVE_MS) {
+            ticking = false;
+            return;
+        }
+        scheduler.schedule(TICK_MS, this::tick);
+        closeAccountsKeptElsewhere();
+        reach.nextRound();
+        List<String> silent = order.silent(nowMs);
+        if (!silent.isEmpty()) {
+            send(
+                    silent.get(Math.floorMod(nextSilent++, silent.size())),
+                    QuotaRequest.newBuilder(),
+                    REPLY_TIMEOUT_MS,
+                    ReplyHandler.NONE);
+        }
+        if (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS) {
+            ping(PINGS_PER_TICK, nowMs);
+        }
+    }
+
+    private void closeAccountsKeptElsewhere() {
+        if (checkedVersion != order.version()) {
+            checkedVersion = order.version();
+            accounts.keySet().removeIf(customer -> !firstKeeper(customer).equals(Optional.of(host)));
+        }
+    }
+
+    /** Asks a few hosts, whether silent or not, to find out how many of all this host reaches. */
+    private void ping(int count, long nowMs) {
+        List<String> others = order.remembered(nowMs);
+        for (int i = 0; i < Math.min(count, others.size()); i++) {
+            ping(others.get(Math.floorMod(host.hashCode() + nextPing++, others.size())));
+        }
+    }
+
+    private void ping(String other) {
+        int round = reach.round();
+        send(other, QuotaRequest.newBuilder(), REPLY_TIMEOUT_MS, new ReplyHandler() {
+            @Override
+            public void onReply(QuotaReply reply) {
+                reach.countAnswered(round);
+            }
+
+            @Override
+            public void onLost() {
+                reach.countLost(round);
+            }
+        });
+    }
+}
