--- a/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
+++ b/core/src/main/java/org/celerygw/core/gen/peers/Peers.java
@@ -86,6 +86,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_peers_Waiting_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_peers_WaitingClass_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_peers_WaitingClass_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_celerygw_peers_ServerLoad_descriptor;
   static final 
@@ -162,25 +167,28 @@
       "merWork\022\020\n\010customer\030\001 \001(\007\022\017\n\007work_ms\030\002 \001" +
       "(\002\"^\n\010ZoneRoom\022\017\n\007service\030\001 \001(\t\022\014\n\004zone\030" +
       "\002 \001(\t\022\022\n\nfree_slots\030\003 \001(\005\022\017\n\007waiting\030\004 \001" +
-      "(\005\022\016\n\006age_ms\030\005 \001(\005\",\n\007Waiting\022\021\n\tunder_w" +
-      "ay\030\001 \001(\005\022\016\n\006others\030\002 \001(\005\"\250\001\n\nServerLoad\022" +
-      "\016\n\006server\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010do" +
-      "ubtful\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014lim" +
-      "it_age_ms\030\005 \001(\005\022\016\n\006tokens\030\006 \001(\003\022\022\n\nservi" +
-      "ce_ms\030\007 \001(\002\022\026\n\016service_age_ms\030\010 \001(\005\"\301\001\n\013" +
-      "RelayedCall\022\021\n\tpartition\030\001 \001(\005\022-\n\005write\030" +
-      "\002 \001(\0132\034.celerygw.store.WriteRequestH\000\022+\n" +
-      "\004read\030\003 \001(\0132\033.celerygw.store.ReadRequest" +
-      "H\000\022+\n\004scan\030\004 \001(\0132\033.celerygw.store.ScanRe" +
-      "questH\000\022\016\n\004feed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014Rela" +
-      "yedReply\022-\n\007written\030\001 \001(\0132\032.celerygw.sto" +
-      "re.WriteReplyH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw" +
-      ".store.RowsReplyH\000\022(\n\004feed\030\003 \001(\0132\030.celer" +
-      "ygw.peers.FeedRowsH\000B\007\n\005reply\"C\n\010FeedRow" +
-      "s\022\017\n\007version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celer" +
-      "ygw.store.TableRow*5\n\014PermitResult\022\r\n\tEL" +
-      "SEWHERE\020\000\022\013\n\007GRANTED\020\001\022\t\n\005LATER\020\002B\037\n\033org" +
-      ".celerygw.core.gen.peersP\001b\006proto3"
+      "(\005\022\016\n\006age_ms\030\005 \001(\005\"[\n\007Waiting\022\021\n\tunder_w" +
+      "ay\030\001 \001(\005\022\016\n\006others\030\002 \001(\005\022-\n\007classes\030\003 \003(" +
+      "\0132\034.celerygw.peers.WaitingClass\"E\n\014Waiti" +
+      "ngClass\022\022\n\nprecedence\030\001 \001(\005\022\021\n\tunder_way" +
+      "\030\002 \001(\005\022\016\n\006others\030\003 \001(\005\"\250\001\n\nServerLoad\022\016\n" +
+      "\006server\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\005\022\020\n\010doub" +
+      "tful\030\003 \001(\010\022\023\n\013limit_per_s\030\004 \001(\001\022\024\n\014limit" +
+      "_age_ms\030\005 \001(\005\022\016\n\006tokens\030\006 \001(\003\022\022\n\nservice" +
+      "_ms\030\007 \001(\002\022\026\n\016service_age_ms\030\010 \001(\005\"\301\001\n\013Re" +
+      "layedCall\022\021\n\tpartition\030\001 \001(\005\022-\n\005write\030\002 " +
+      "\001(\0132\034.celerygw.store.WriteRequestH\000\022+\n\004r" +
+      "ead\030\003 \001(\0132\033.celerygw.store.ReadRequestH\000" +
+      "\022+\n\004scan\030\004 \001(\0132\033.celerygw.store.ScanRequ" +
+      "estH\000\022\016\n\004feed\030\005 \001(\tH\000B\006\n\004call\"\233\001\n\014Relaye" +
+      "dReply\022-\n\007written\030\001 \001(\0132\032.celerygw.store" +
+      ".WriteReplyH\000\022)\n\004rows\030\002 \001(\0132\031.celerygw.s" +
+      "tore.RowsReplyH\000\022(\n\004feed\030\003 \001(\0132\030.celeryg" +
+      "w.peers.FeedRowsH\000B\007\n\005reply\"C\n\010FeedRows\022" +
+      "\017\n\007version\030\001 \001(\003\022&\n\004rows\030\002 \003(\0132\030.celeryg" +
+      "w.store.TableRow*5\n\014PermitResult\022\r\n\tELSE" +
+      "WHERE\020\000\022\013\n\007GRANTED\020\001\022\t\n\005LATER\020\002B\037\n\033org.c" +
+      "elerygw.core.gen.peersP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -258,27 +266,33 @@
     internal_static_celerygw_peers_Waiting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_Waiting_descriptor,
-        new java.lang.String[] { "UnderWay", "Others", });
-    internal_static_celerygw_peers_ServerLoad_descriptor =
+        new java.lang.String[] { "UnderWay", "Others", "Classes", });
+    internal_static_celerygw_peers_WaitingClass_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_celerygw_peers_WaitingClass_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_peers_WaitingClass_descriptor,
+        new java.lang.String[] { "Precedence", "UnderWay", "Others", });
+    internal_static_celerygw_peers_ServerLoad_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_celerygw_peers_ServerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_ServerLoad_descriptor,
         new java.lang.String[] { "Server", "InFlight", "Doubtful", "LimitPerS", "LimitAgeMs", "Tokens", "ServiceMs", "ServiceAgeMs", });
     internal_static_celerygw_peers_RelayedCall_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_celerygw_peers_RelayedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedCall_descriptor,
         new java.lang.String[] { "Partition", "Write", "Read", "Scan", "Feed", "Call", });
     internal_static_celerygw_peers_RelayedReply_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_celerygw_peers_RelayedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_RelayedReply_descriptor,
         new java.lang.String[] { "Written", "Rows", "Feed", "Reply", });
     internal_static_celerygw_peers_FeedRows_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_celerygw_peers_FeedRows_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_peers_FeedRows_descriptor,
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -10,8 +10,10 @@
 import java.util.stream.Collectors;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.ServerLoad;
+import org.celerygw.core.servers.PeersLoad;
 import org.celerygw.core.servers.RequestLimit;
 import org.celerygw.core.servers.ServerList;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 
@@ -32,6 +34,15 @@
     private static final int MIN_FAILURE_REPORTS = 2;
     private static final int MAX_LIMITS_TOLD = 600;
     private static final int LIVENESS_ROUNDS = 2;
+    /**
+     * The part of the peers' engine memory that is kept free: a host of the same group may have started a request in the 15
+     * ms until its digest is sent, and the load of other groups is scaled up from a sample.
+     */
+    private static final double GROUP_MARGIN = 0.125;
+
+    private static final double SAMPLE_MARGIN = 0.5;
+    /** A peer of which nothing was heard for this long, in ms, is taken for dead rather than cut off. */
+    private static final long MAX_SILENCE_MS = 30_000;
 
     private final int fanout;
     private final long intervalMs;
@@ -63,8 +74,10 @@
                 .limit(MAX_LIMITS_TOLD)
                 .collect(Collectors.toSet());
         return servers.all().stream()
-                .filter(server ->
-                        server.inFlight() > 0 || server.hasHighLocalFailureRate(nowMs) || limited.contains(server))
+                .filter(server -> server.inFlight() > 0
+                        || server.hasHighLocalFailureRate(nowMs)
+                        || limited.contains(server)
+                        || tellsSpeed(server, nowMs))
                 .map(server -> localLoad(server, limited.contains(server), nowMs))
                 .toList();
     }
@@ -73,11 +86,21 @@
         return server.limit().isInForce(nowMs) && server.limit().ageMs(nowMs) <= RequestLimit.MAX_TOLD_AGE_MS;
     }
 
+    /** A server of mean speed needs no entry of its own. */
+    private static boolean tellsSpeed(TrackedServer server, long nowMs) {
+        return server.speed().isKnownLocally(nowMs) && server.speed().slowness(nowMs) != 1;
+    }
+
     private static ServerLoad localLoad(TrackedServer server, boolean withLimit, long nowMs) {
         ServerLoad.Builder load = ServerLoad.newBuilder()
                 .setServer(server.entry().id())
                 .setInFlight(server.inFlight())
+                .setTokens(server.ownTokens())
                 .setDoubtful(server.hasHighLocalFailureRate(nowMs));
+        if (server.speed().isKnownLocally(nowMs)) {
+            load.setServiceMs((float) server.speed().localUnitMs())
+                    .setServiceAgeMs((int) server.speed().localSampleAgeMs(nowMs));
+        }
         if (withLimit) {
             load.setLimitPerS(server.limit().perS(nowMs))
                     .setLimitAgeMs((int) server.limit().ageMs(nowMs));
@@ -118,19 +141,37 @@
                 .toList();
         long sampled = recent.stream().filter(received -> !received.sameGroup()).count();
         sampleScale = sampled == 0 ? 1 : countLiveOtherHosts(digests, nowMs) / (double) sampled;
-        Map<String, Double> inFlightByServer = new HashMap<>();
+        Map<String, PeersLoad> loadsByServer = new HashMap<>();
         Map<String, Integer> failureReportsByServer = new HashMap<>();
+        updateSpeeds(digests, servers, nowMs);
         recent.forEach(received -> received.digest().getLoadsList().forEach(load -> {
-            inFlightByServer.merge(load.getServer(), scale(received.sameGroup()) * load.getInFlight(), Double::sum);
+            loadsByServer.merge(
+                    load.getServer(),
+                    PeersLoad.NONE.plus(scale(received.sameGroup()), peersLoad(load, received.sameGroup())),
+                    (one, other) -> one.plus(1, other));
             failureReportsByServer.merge(load.getServer(), load.getDoubtful() ? 1 : 0, Integer::sum);
         }));
+        int silent = recent.isEmpty() ? countSilent(digests, nowMs) : 0;
         for (TrackedServer server : servers.all()) {
             String serverId = server.entry().id();
-            server.setPeersInFlight(inFlightByServer.getOrDefault(serverId, 0.0));
+            server.setPeersLoad(loadsByServer.getOrDefault(serverId, PeersLoad.NONE), silent);
             server.setPeersReportFailures(failureReportsByServer.getOrDefault(serverId, 0) >= MIN_FAILURE_REPORTS);
         }
     }
 
+    /** Speeds change less than loads, so that older digests count as well; their samples decay with age. */
+    private static void updateSpeeds(Collection<ReceivedDigest> digests, ServerList servers, long nowMs) {
+        servers.all().forEach(server -> server.speed().clearPeers(nowMs));
+        digests.forEach(received -> received.digest().getLoadsList().forEach(load -> {
+            TrackedServer server = servers.byId(load.getServer());
+            if (server != null) {
+                long ageMs = Math.max(0, load.getServiceAgeMs()) + nowMs - received.receivedAtMs();
+                server.speed().addPeer(load.getServiceMs(), ageMs);
+            }
+        }));
+        SpeedLearner.updateServiceMeans(servers.all(), nowMs);
+    }
+
     /**
      * Applies the change between two consecutive digests of one peer, so that the estimates follow each digest. The next
      * {@link #updateServers} corrects what this neglects: expired digests and the number of live hosts.
@@ -143,9 +184,9 @@
     public void applyChange(@Nullable Digest previous, Digest current, boolean sameGroup, ServerList servers) {
         double scale = scale(sameGroup);
         if (previous != null) {
-            previous.getLoadsList().forEach(load -> addPeersInFlight(servers, load, -scale));
+            previous.getLoadsList().forEach(load -> addPeersLoad(servers, load, -scale, sameGroup));
         }
-        current.getLoadsList().forEach(load -> addPeersInFlight(servers, load, scale));
+        current.getLoadsList().forEach(load -> addPeersLoad(servers, load, scale, sameGroup));
     }
 
     /** Returns for how many hosts the digest of one stands. */
@@ -153,13 +194,25 @@
         return sameGroup ? 1 : sampleScale;
     }
 
-    private static void addPeersInFlight(ServerList servers, ServerLoad load, double factor) {
+    private static PeersLoad peersLoad(ServerLoad load, boolean sameGroup) {
+        double margin = sameGroup ? GROUP_MARGIN : SAMPLE_MARGIN;
+        int unsized = load.getTokens() == 0 ? load.getInFlight() : 0;
+        return new PeersLoad(load.getInFlight(), load.getTokens(), margin * load.getTokens(), unsized);
+    }
+
+    private static void addPeersLoad(ServerList servers, ServerLoad load, double factor, boolean sameGroup) {
         TrackedServer server = servers.byId(load.getServer());
         if (server != null) {
-            server.addPeersInFlight(factor * load.getInFlight());
+            server.addPeersLoad(factor, peersLoad(load, sameGroup));
         }
     }
 
+    private static int countSilent(Collection<ReceivedDigest> digests, long nowMs) {
+        return (int) digests.stream()
+                .filter(received -> nowMs - received.receivedAtMs() < MAX_SILENCE_MS)
+                .count();
+    }
+
     /**
      * Counts the hosts of other groups that sent a digest within the last {@value #LIVENESS_ROUNDS} rounds over all peers;
      * the others are considered down.
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -1,8 +1,10 @@
 package org.celerygw.gateway.forward;
 
 import java.io.ByteArrayOutputStream;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
+import org.celerygw.core.turns.ProgramIds;
 import org.celerygw.core.turns.Reservation;
 import org.celerygw.core.turns.StoredTurn;
 import org.celerygw.core.turns.TurnChain;
@@ -18,6 +20,8 @@
     private static final long UNLIMITED_BUDGET_TOKENS = Long.MAX_VALUE / 4;
     private static final long SETTLE_TIMEOUT_MS = 1_000;
     private static final int MAX_STORED_INPUT_BYTES = 400_000;
+    /** Text has four bytes per token on average; a lower figure errs on the side of too much memory. */
+    private static final int MIN_BYTES_PER_TOKEN = 3;
 
     private final Exchange exchange;
     private final boolean reservesTokens;
@@ -36,16 +40,20 @@
         boolean generates = exchange.route.kind() == RouteKind.STREAMING;
         this.storesTurn = generates && exchange.route.storesTurns();
         this.reservesTokens = storesTurn || (generates && exchange.metadata.hasBudget());
-        this.program =
-                exchange.metadata.program().isEmpty() ? programOf(exchange.metadata.id()) : exchange.metadata.program();
+        this.program = storedProgram(exchange, exchange.metadata.id());
         this.budgetTokens = exchange.metadata.hasBudget() ? exchange.metadata.budgetTokens() : UNLIMITED_BUDGET_TOKENS;
         this.reservationConfirmed = !reservesTokens;
         this.versionGuard = new StreamVersionGuard(exchange, program, reservesTokens, this::deliverIfAllowed);
     }
 
-    /** Returns the program under which a turn without a program is stored. */
-    static String programOf(String turn) {
-        return "alone-" + turn;
+    /** Returns the program under which a turn of an exchange's program and customer is stored. */
+    static String storedProgram(Exchange exchange, String turn) {
+        String named = exchange.metadata.program();
+        return ProgramIds.of(exchange.customer().map(Customer::id), named.isEmpty() ? "alone-" + turn : named);
+    }
+
+    private String customer() {
+        return exchange.customer().map(c -> c.id().value()).orElse("");
     }
 
     /** Returns how long the rows of a route's turns are retained, in ms. */
@@ -89,6 +97,23 @@
         return chain == null ? "" : chain.lastServer();
     }
 
+    /**
+     * Returns the engine memory that the turn can hold at its end, in tokens: its prompt and its longest output. A client
+     * that does not name the size of its prompt gets an estimate from the bytes of the history and of the new input. 0 if
+     * the memory of the service's engines is not known.
+     */
+    long memoryTokens() {
+        if (exchange.service == null || exchange.service.memoryTokens() <= 0) {
+            return 0;
+        }
+        long namedTokens = exchange.metadata.promptTokens();
+        int historyBytes = chain == null ? 0 : chain.history().length;
+        long promptTokens = namedTokens > 0
+                ? namedTokens
+                : (historyBytes + exchange.request.body().length + MIN_BYTES_PER_TOKEN - 1L) / MIN_BYTES_PER_TOKEN;
+        return promptTokens + exchange.metadata.maxTokens();
+    }
+
     /** Returns the body of the request to the backend server: the history, then the new input. */
     byte[] requestBody() {
         if (chain == null || chain.history().length == 0) {
@@ -112,7 +137,7 @@
     private void readChain() {
         if (storesTurn && !exchange.metadata.previousTurn().isEmpty()) {
             exchange.forwarder.programStore.readChain(
-                    program, exchange.metadata.previousTurn(), exchange.latestSendMs(), this::onChainRead);
+                    program, exchange.metadata.previousTurn(), customer(), exchange.latestSendMs(), this::onChainRead);
         } else {
             onChainRead(TurnChain.EMPTY);
         }
@@ -239,8 +264,9 @@
                         exchange.request.body(),
                         output,
                         exchange.lastServerId(),
-                        nowMs)
-                : new StoredTurn("", "", requestBody(), output, exchange.lastServerId(), nowMs);
+                        nowMs,
+                        customer())
+                : new StoredTurn("", "", requestBody(), output, exchange.lastServerId(), nowMs, customer());
     }
 
     /** Settles the reservation with the tokens of the delivered events, unless already settled; does not store the turn. */
