--- a/tools/build-host.sh
+++ b/tools/build-host.sh
@@ -8,5 +8,11 @@
 cp platform/target/celerygw-platform-0.1.0-SNAPSHOT-all.jar target/new.jar
 mv target/new.jar target/celerygw-host.jar
 rm -f target/host.jsa
-java -XX:ArchiveClassesAtExit=target/host.jsa -Xmx112m -XX:+UseSerialGC -cp target/celerygw-host.jar \
-  org.celerygw.platform.WarmUp > target/warm-up.log 2>&1
+# Repeated, since a turn may fail on a busy machine; the archive must not hold less than a host loads.
+for attempt in 1 2 3; do
+  if java -cp target/celerygw-host.jar org.celerygw.platform.WarmUp . > target/warm-up.log 2>&1; then
+    exit 0
+  fi
+done
+cat target/warm-up.log >&2
+exit 1
