Collect changes of the load for longer while the engines of a large fleet have room

Cause: in a large fleet each change of a host's load goes to the eleven other hosts of its group within 15 ms, about ten datagrams for each request, also while every engine has free slots and the exact load decides nothing.

Change: ChangeDelay decides: 15 ms in a fleet of one group, while requests wait, or while an engine in use is nearly full; 120 ms otherwise. A more urgent change takes the pending ones along.

Result: ChangeDelayTest and the tests of digests and estimates pass.

--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.celerygw.core.error.ErrorCode;
@@ -29,6 +30,7 @@
 import org.celerygw.core.gen.peers.PermitReply;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.ChangeDelay;
 import org.celerygw.core.peers.DigestSplitter;
 import org.celerygw.core.peers.DigestTargets;
 import org.celerygw.core.peers.FleetLoadEstimator;
@@ -44,14 +46,13 @@
 
 /**
  * Sends this host's digest to its peers as UDP datagrams, receives theirs, and derives the fleet's load from them. A
- * change of the load is sent within {@value #CHANGE_DELAY_MS} ms; without changes, only the periodic rounds send.
+ * change of the load is sent after the time that {@link ChangeDelay} says; without changes, only the periodic rounds send.
  */
 final class DigestExchange {
     static final long ROUND_INTERVAL_MS = 400;
 
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final int ROUND_SIZE = 6;
-    private static final long CHANGE_DELAY_MS = 15;
     /** Hosts of earlier releases send their digest in one datagram, however long. */
     private static final int MAX_RECEIVED_BYTES = 16_384;
 
@@ -64,6 +65,7 @@
     private final LocalDigest localDigest;
     private final FleetLoadEstimator fleetLoadEstimator = new FleetLoadEstimator(ROUND_SIZE, ROUND_INTERVAL_MS);
     private final DigestTargets targets = new DigestTargets(ROUND_SIZE);
+    private final BooleanSupplier anyWaiting;
     private final BiConsumer<Integer, Integer> onGroup;
     private final Consumer<Digest> onDigest;
     private final Permits permits;
@@ -72,7 +74,7 @@
     private final DigestSplitter splitter = new DigestSplitter();
     private int lastDatagrams = 1;
     private long unreadDatagrams;
-    private boolean changePending;
+    private long changeDueMs = Long.MAX_VALUE;
     private boolean suspectsPending;
 
     /** Supplies the parts of the digest that do not concern the load. */
@@ -90,6 +92,7 @@
             ServerList servers,
             PeerTable peers,
             LocalDigest localDigest,
+            BooleanSupplier anyWaiting,
             BiConsumer<Integer, Integer> onGroup,
             Consumer<Digest> onDigest,
             Permits permits) {
@@ -100,6 +103,7 @@
         this.servers = servers;
         this.peers = peers;
         this.localDigest = localDigest;
+        this.anyWaiting = anyWaiting;
         this.onGroup = onGroup;
         this.onDigest = onDigest;
         this.permits = permits;
@@ -146,22 +150,33 @@
 
     /** Called when this host's load on a backend server has changed; changes that follow each other are sent together. */
     void loadChanged() {
-        if (!changePending) {
-            changePending = true;
-            // A digest of several datagrams is sent as much less often, so that their number stays the same.
-            scheduler.schedule(CHANGE_DELAY_MS * lastDatagrams, () -> {
-                changePending = false;
-                boolean withSuspects = suspectsPending;
-                suspectsPending = false;
-                send(group.peers(), withSuspects);
-            });
+        sendWithin(ChangeDelay.delayMs(group.count(), anyWaiting.getAsBoolean(), servers));
+    }
+
+    private void sendWithin(long singleDelayMs) {
+        // A digest of several datagrams is sent as much less often, so that their number stays the same.
+        long delayMs = lastDatagrams * singleDelayMs;
+        long dueMs = clock.nowMs() + delayMs;
+        if (dueMs < changeDueMs) {
+            changeDueMs = dueMs;
+            scheduler.schedule(delayMs, () -> sendChange(dueMs));
+        }
+    }
+
+    /** Sends the changes collected so far, unless a more urgent one has already taken them along. */
+    private void sendChange(long dueMs) {
+        if (dueMs == changeDueMs) {
+            changeDueMs = Long.MAX_VALUE;
+            boolean withSuspects = suspectsPending;
+            suspectsPending = false;
+            send(group.peers(), withSuspects);
         }
     }
 
     /** Called when a server has crashed under a request. */
     void suspectsChanged() {
         suspectsPending = true;
-        loadChanged();
+        sendWithin(ChangeDelay.URGENT_MS);
     }
 
     private void send(List<Peer> receivers, boolean withSuspects) {
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -201,6 +201,7 @@
                 servers,
                 peers,
                 this::localDigest,
+                this::anyWaiting,
                 localState::onGroup,
                 this::onDigest,
                 permits);
@@ -217,6 +218,11 @@
         digests.suspectsChanged();
     }
 
+    private boolean anyWaiting() {
+        return !localState.waitingByService().isEmpty()
+                || digests.group().anyMatch(p -> p.digest.getWaitingCount() > 0);
+    }
+
     private void onDigest(Digest digest) {
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -78,6 +78,7 @@
                 servers,
                 new PeerTable(loop, clock, host),
                 withSuspects -> Digest.newBuilder(),
+                () -> false,
                 (index, count) -> {},
                 this::onDigest,
                 permits);
