--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -45,6 +47,7 @@
     final Route route;
     final RouteTable routes;
     final @Nullable Service service;
+    private final Optional<Customer> customer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
     private final long timeoutMs;
@@ -71,13 +74,15 @@
             ClientResponse clientResponse,
             RequestMetadata metadata,
             Route route,
-            RouteTable routes) {
+            RouteTable routes,
+            Optional<Customer> customer) {
         this.forwarder = forwarder;
         this.request = request;
         this.clientResponse = clientResponse;
         this.metadata = metadata;
         this.route = route;
         this.routes = routes;
+        this.customer = customer;
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
         this.timeoutMs =
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
@@ -118,6 +123,16 @@
         return sendCount;
     }
 
+    /** Returns the customer for which the request acts; empty for none. */
+    Optional<Customer> customer() {
+        return customer;
+    }
+
+    /** Returns the urgency rank: the customer's, or else the route's. */
+    int rank() {
+        return customer.flatMap(c -> c.rank().stream().boxed().findFirst()).orElse(route.rank());
+    }
+
     /** Returns how many requests the connection of the last send had carried before. */
     int earlierRequests() {
         return earlierRequests;
@@ -350,9 +365,13 @@
     }
 
     private OriginRequest originRequest(TrackedServer server) {
-        HttpHeaders headers = Headers.copy(request.headers(), forwarder.dialect::isForwardable);
+        boolean requiresKeys = routes.customers().requiresKeys();
+        HttpHeaders headers =
+                Headers.copy(request.headers(), name -> forwarder.dialect.isForwardable(name, requiresKeys));
         forwarder.dialect.addForwardingHeaders(
-                headers, new Dialect.ForwardingHeaders(server.entry().id(), Math.max(1, remainingMs()), lastEventId()));
+                headers,
+                new Dialect.ForwardingHeaders(
+                        server.entry().id(), Math.max(1, remainingMs()), lastEventId(), customer.map(Customer::id)));
         return new OriginRequest(request.method(), request.uri(), headers, turn.requestBody());
     }
 
@@ -455,11 +474,15 @@
     private final class BackendResponseHandler implements ResponseHandler {
         private final TrackedServer server;
         private final int eventsBefore;
+        private final int loadAtStart;
+        private long firstBodyMs;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
 
+        /** Created when the request has been counted in the server's load. */
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
+            this.loadAtStart = server.load() - 1;
             this.eventsBefore = responseWriter.receivedEvents();
         }
 
@@ -484,6 +507,9 @@
         @Override
         public void onBody(byte[] bytes) {
             lastReceivedMs = forwarder.clock.nowMs();
+            if (firstBodyMs == 0) {
+                firstBodyMs = lastReceivedMs - sentMs;
+            }
             if (serverFirstByteMs == 0) {
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
@@ -560,11 +586,32 @@
             if (service != null && service.runsEngines() && status < SERVER_ERROR) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
             }
+            recordSpeed();
             if (!ended) {
                 responseWriter.finish();
             }
         }
 
+        /** A response through a peer says less about the server, and one that is no success says nothing. */
+        private void recordSpeed() {
+            if (status / 100 != 2 || service == null || forwarder.links.prefersPeers(server)) {
+                return;
+            }
+            long nowMs = forwarder.clock.nowMs();
+            long wholeMs = lastReceivedMs - sentMs;
+            if (service.runsEngines()) {
+                int events = Math.max(0, responseWriter.receivedEvents() - eventsBefore - 1);
+                forwarder.speedLearner.recordEngineResponse(
+                        server,
+                        route.name(),
+                        loadAtStart,
+                        new SpeedLearner.EngineTimes(metadata.promptTokens(), events, firstBodyMs, wholeMs),
+                        nowMs);
+            } else {
+                forwarder.speedLearner.recordResponse(server, route.name(), loadAtStart, wholeMs, nowMs);
+            }
+        }
+
         private void onShed() {
             if (status == MISDIRECTED_REQUEST) {
                 server.recordFailure(forwarder.clock.nowMs());
