--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -209,6 +209,7 @@
                 servers,
                 peers,
                 this::localDigest,
+                this::anyWaiting,
                 localState::onGroup,
                 this::onDigest,
                 permits);
@@ -225,6 +226,11 @@
         digests.suspectsChanged();
     }
 
+    private boolean anyWaiting() {
+        return !localState.waitingByService().isEmpty()
+                || digests.group().anyMatch(p -> p.digest.getWaitingCount() > 0);
+    }
+
     private void onDigest(Digest digest) {
         if (digest.getConfigVersion() > 0) {
             localState.onPeerConfiguration(digest.getConfigVersion(), digest.getStoreAnswers());
