Enforce customers' quotas on the gateway's path

Cause: requests of customers were sent whatever their rate.

Change: an exchange takes a token of its customer's quota before its budget is reserved, and one more before each send that could run the request a second time; tokens for sends that no server ran are returned. Over the quota the answer is 429 with Retry-After, one line `quota: a request is over its customer's limit`, and celerygw_quota_refusals_total by customer (the first 100 seen, the others together). QuotaRequest and QuotaReply travel as permits do. While the account's host is being replaced, hosts far from the limit go on (two lost messages instead of one). Fixtures of two tests gained the new constructor argument; DigestMutationTest also sends quota messages.

Result: 291 tests of gateway (QuotaTest, ForwarderTest, DigestMutationTest and others) and 33 of core (CustomerQuotasTest, PermitsTest) pass.

--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -38,6 +38,9 @@
 
     private static final long ELSEWHERE_MS = 100;
     private static final int MAX_KEEPERS_ASKED = 3;
+    /** Requests far below the limit go on while another host takes over the account, which costs one message. */
+    private static final int MAX_LOST = 2;
+
     private static final long NOTICE_MS = 2_000;
     /** Longer than the time between two notices, so that one lost notice does not end the constraint. */
     private static final long CONSTRAINED_MS = 5_000;
@@ -418,9 +421,13 @@
         return request.getLimitPerS() > 0
                 && request.getBurst() >= 0
                 && request.getBurst() < Double.POSITIVE_INFINITY
-                && request.getUsedTokens() >= 0
-                && request.getReturnedTokens() >= 0
-                && request.getWantedTokens() >= 0;
+                && isCount(request.getUsedTokens())
+                && isCount(request.getReturnedTokens())
+                && isCount(request.getWantedTokens());
+    }
+
+    private static boolean isCount(double tokens) {
+        return tokens >= 0 && tokens < Double.POSITIVE_INFINITY;
     }
 
     private static RateLimit limitOf(QuotaRequest request) {
@@ -440,7 +447,7 @@
         }
         double excess = bounds.excess(lease.limit);
         boolean reached =
-                lease.lostRequests == 0 && (lease.acknowledged || !order.hasSilentBefore(customer, keeper.get()));
+                lease.lostRequests < MAX_LOST && (lease.acknowledged || !order.hasSilentBefore(customer, keeper.get()));
         double mostTokens = reached ? Math.max(1, excess / 8) : Math.floor(excess / 2 / order.size());
         return lease.unacknowledgedTokens + 1 <= mostTokens;
     }
@@ -566,8 +573,9 @@
         lease.accountAgeMs = reply.getAccountAgeMs();
         lease.decidedBy = keeper;
         if (reply.getConstrained()) {
+            double granted = isCount(reply.getGrantedTokens()) ? reply.getGrantedTokens() : 0;
             lease.constrainedUntilMs = nowMs + CONSTRAINED_MS;
-            lease.hold(reply.getGrantedTokens(), askedMs + Math.min(VALIDITY_MS, reply.getValidityMs()), nowMs);
+            lease.hold(granted, askedMs + Math.min(VALIDITY_MS, reply.getValidityMs()), nowMs);
             scheduleReturn(customer, lease);
             if (reply.getRetryAfterMs() > 0) {
                 lease.retryAtMs = nowMs + reply.getRetryAfterMs();
--- a/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
+++ b/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
@@ -57,8 +57,7 @@
         if (!known.containsAll(hosts)) {
             changedMs = nowMs;
         }
-        if (aliveMs.size() > MAX_REMEMBERED) {
-            aliveMs.keySet().retainAll(known);
+        if (timeouts.size() > MAX_REMEMBERED) {
             timeouts.keySet().retainAll(known);
         }
         known.forEach(host -> aliveMs.putIfAbsent(host, nowMs));
@@ -122,6 +121,9 @@
     }
 
     void onAlive(String host, long nowMs) {
+        if (aliveMs.size() > MAX_REMEMBERED) {
+            aliveMs.clear();
+        }
         aliveMs.put(host, nowMs);
         Integer count = timeouts.remove(host);
         if (count != null && count >= MAX_TIMEOUTS) {
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -16,7 +16,11 @@
 import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.limits.QuotaBounds;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.RouteTable;
@@ -80,6 +84,7 @@
     private final Scheduler scheduler;
     private final ServerList servers;
     private final Permits permits;
+    private final CustomerQuotas quotas;
     private final Quarantine quarantine;
     private final ServerSelector serverSelector;
     private final OriginPools originPools;
@@ -127,6 +132,7 @@
         this.servers = new ServerList(originPools::remove, this::logReturn);
         this.quarantine = new Quarantine(settings.host());
         this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
+        this.quotas = createQuotas();
         this.serverSelector = new ServerSelector(settings.zone(), permits::request);
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
@@ -134,9 +140,7 @@
         this.configFreshness = createFreshness(settings.customerBounds());
         this.configurationWatch = createConfigurationWatch(health);
         this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
-        List<Table> partitions = adapter.partitions(settings.partitions()).stream()
-                .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
-                .toList();
+        List<Table> partitions = meteredPartitions();
         Dialect dialect = adapter.dialect();
         this.links = new ServerLinks(clock, scheduler, dialect, servers, originPools, this::serverRelays);
         this.serverRelay = new ServerRelay(links, servers, scheduler);
@@ -157,6 +161,7 @@
                 health,
                 new PeersLocalState(),
                 permits,
+                quotas,
                 serverRelay);
         configurationWatch.setPeerSource(callback -> peers.readFeed(CONFIGURATION_FEED, callback));
         serverWatch.setPeerSource(callback -> peers.readFeed(SERVER_FEED, callback));
@@ -173,7 +178,7 @@
                         .nextDouble());
         metrics.registerQueue(engineQueue);
         metrics.registerLinks(links, originPools);
-        metrics.registerServerProtection(servers, permits, quarantine, clock);
+        metrics.registerServerProtection(servers, permits, quotas, quarantine, clock);
         this.forwarder = new Forwarder(
                 clock,
                 scheduler,
@@ -187,6 +192,7 @@
                 links,
                 programStore,
                 quarantine,
+                quotas,
                 new RequestLog(registry),
                 peers::loadChanged,
                 peers::suspectsChanged);
@@ -196,6 +202,22 @@
         serverWatch.start();
     }
 
+    private CustomerQuotas createQuotas() {
+        GatewaySettings.CustomerBounds bounds = settings.customerBounds();
+        return new CustomerQuotas(
+                settings.host(),
+                clock,
+                scheduler,
+                new QuotaBounds(bounds.quotaWindowMs(), bounds.quotaOverage(), bounds.quotaSlack()),
+                new QuotaNetwork());
+    }
+
+    private List<Table> meteredPartitions() {
+        return adapter.partitions(settings.partitions()).stream()
+                .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
+                .toList();
+    }
+
     private List<OriginPool> serverRelays() {
         return peers.serverRelays();
     }
@@ -479,6 +501,34 @@
         }
     }
 
+    /** Reaches the hosts that keep the accounts of customers' quotas. */
+    private final class QuotaNetwork implements CustomerQuotas.Network {
+        @Override
+        public Collection<String> hosts() {
+            return peers.grantingHosts();
+        }
+
+        @Override
+        public boolean mayKeep() {
+            return !stopping && peers.knowsHosts();
+        }
+
+        @Override
+        public void send(String host, QuotaRequest request) {
+            peers.sendQuotaRequest(host, request);
+        }
+
+        @Override
+        public void sendNotice(String host, QuotaReply notice) {
+            peers.sendQuotaNotice(host, notice);
+        }
+
+        @Override
+        public void announce(String host) {
+            peers.sendDigest(host);
+        }
+    }
+
     /** Applies configurations whose version is newer than the current one. */
     private final class ConfigListener implements Watch.Listener {
         private final RowDecoder<RouteTable> configurationRows = new RowDecoder<>(
--- a/gateway/src/main/java/org/celerygw/gateway/Metrics.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Metrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.scheduling.EngineQueue;
@@ -95,8 +96,9 @@
                 originPools::unassignedData);
     }
 
-    /** Registers the metrics of the servers' request limits and of the requests under which servers have crashed. */
-    void registerServerProtection(ServerList servers, Permits permits, Quarantine quarantine, Clock clock) {
+    /** Registers the metrics of the request limits of servers and customers, and of the requests under which servers crash. */
+    void registerServerProtection(
+            ServerList servers, Permits permits, CustomerQuotas quotas, Quarantine quarantine, Clock clock) {
         registerGauge(
                 "celerygw_quarantined_requests",
                 "Requests and paths that are not sent since servers have crashed under them",
@@ -113,6 +115,9 @@
                 "celerygw_permits_refused_total", "Requests for permits to be repeated later", permits::refusedPermits);
         registerCounter(
                 "celerygw_permit_replies_lost_total", "Requests for permits without a reply", permits::lostReplies);
+        registerGauge("celerygw_quota_accounts", "Customers whose account this host keeps", quotas::accounts);
+        registerCounter(
+                "celerygw_quota_replies_lost_total", "Messages about quotas without a reply", quotas::lostReplies);
     }
 
     /** Counts a completed call to the store and adds its duration to the histogram. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -50,6 +50,7 @@
     private final Optional<Customer> customer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
+    private final QuotaTokens quotaTokens;
     private final long timeoutMs;
     private final long deadlineMs;
     private final Set<String> triedServerIds = new HashSet<>();
@@ -88,6 +89,7 @@
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
         this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
+        this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
     }
@@ -95,7 +97,15 @@
     void start() {
         forwarder.scheduler.schedule(Math.max(1, remainingMs()), this::onDeadline);
         clientResponse.onClientDisconnect(this::onClientDisconnect);
-        crashGuard.refusal().ifPresentOrElse(this::refuse, turn::prepare);
+        crashGuard.refusal().ifPresentOrElse(this::refuse, () -> quotaTokens.acquire(this::prepareTurn, this::refuse));
+    }
+
+    private void prepareTurn() {
+        if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
+        } else {
+            turn.prepare();
+        }
     }
 
     long remainingMs() {
@@ -318,6 +328,7 @@
 
     private void markEnded() {
         ended = true;
+        quotaTokens.releaseUnused(possibleExecutions);
         responseWriter.releaseWhenSent();
         if (engineWait != null) {
             engineWait.cancel();
@@ -440,6 +451,7 @@
         endSend(server, outcome);
         possibleExecutions--;
         if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
             return;
         }
         triedServerIds.add(server.entry().id());
@@ -457,12 +469,20 @@
         if (route.repeatable()
                 && possibleExecutions < route.maxAttempts()
                 && remainingMs() > MIN_REMAINING_TO_SEND_MS) {
-            send();
+            quotaTokens.acquire(this::resend, refusal -> fail(502, refusal.reason()));
         } else {
             fail(502, "no complete response from the backend server");
         }
     }
 
+    private void resend() {
+        if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
+        } else {
+            send();
+        }
+    }
+
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
         serverMs += forwarder.clock.nowMs() - sentMs;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.limits.ByteQuota;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ResponseTimeAverages;
 import org.celerygw.core.routes.Route;
@@ -51,6 +52,7 @@
     final RequestLog requestLog;
     final EngineQueue engineQueue;
     final Quarantine quarantine;
+    final CustomerQuotas quotas;
     final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     final SpeedLearner speedLearner = new SpeedLearner();
@@ -77,6 +79,7 @@
      * @param links sends requests over these connections or through peers
      * @param programStore reserves and settles token budgets and stores turns
      * @param quarantine the requests under which servers have crashed
+     * @param quotas the quotas of the customers
      * @param requestLog logs and counts sends and ends of requests
      * @param onLoadChanged called when a request to an engine has started or ended
      * @param onSuspectsChanged called when a server has crashed under a request
@@ -94,6 +97,7 @@
             ServerLinks links,
             ProgramStore programStore,
             Quarantine quarantine,
+            CustomerQuotas quotas,
             RequestLog requestLog,
             Runnable onLoadChanged,
             Runnable onSuspectsChanged) {
@@ -109,6 +113,7 @@
         this.links = links;
         this.programStore = programStore;
         this.quarantine = quarantine;
+        this.quotas = quotas;
         this.requestLog = requestLog;
         this.onLoadChanged = onLoadChanged;
         this.onSuspectsChanged = onSuspectsChanged;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -3,7 +3,11 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.HashSet;
+import java.util.Set;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.quarantine.Fingerprint;
+import org.celerygw.core.routes.Customer;
 import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -13,10 +17,15 @@
 /** Logs and counts each send, refusal and end of a request. */
 public final class RequestLog {
     private static final Logger LOG = LoggerFactory.getLogger("request");
+    private static final int MAX_COUNTED_CUSTOMERS = 100;
+    /** Not a valid id of a customer. */
+    private static final String OTHER_CUSTOMERS = "(others)";
 
     private final Counter requestsEnded;
     private final Counter sends;
     private final Counter limitChanges;
+    private final Counter quotaRefusals;
+    private final Set<String> countedCustomers = new HashSet<>();
     private final Histogram requestSeconds;
 
     /**
@@ -39,6 +48,12 @@
                 .name("celerygw_server_limit_changes_total")
                 .help("Responses in which a backend server named another request limit than before, or none any more")
                 .register(registry);
+        quotaRefusals = Counter.builder()
+                .name("celerygw_quota_refusals_total")
+                .help("Requests refused since their customer's quota was used up; customers beyond the first "
+                        + MAX_COUNTED_CUSTOMERS + " count together")
+                .labelNames("customer")
+                .register(registry);
         requestSeconds = Histogram.builder()
                 .name("celerygw_request_seconds")
                 .help("Time from a request's head to the end of its answer")
@@ -110,6 +125,22 @@
                 .log("end: refused without execution");
     }
 
+    void logQuotaRefusal(Exchange exchange, Customer customer, CustomerQuotas.Decision decision) {
+        String name = customer.id().value();
+        boolean counted = countedCustomers.contains(name)
+                || (countedCustomers.size() < MAX_COUNTED_CUSTOMERS && countedCustomers.add(name));
+        quotaRefusals.labelValues(counted ? name : OTHER_CUSTOMERS).inc();
+        LOG.atWarn()
+                .addKeyValue("request", exchange.metadata.id())
+                .addKeyValue("customer", name)
+                .addKeyValue("limitPerS", customer.limit().perS())
+                .addKeyValue("burst", customer.limit().burst())
+                .addKeyValue("accountAgeMs", decision.accountAgeMs())
+                .addKeyValue("decidedBy", decision.decidedBy())
+                .addKeyValue("retryAfterMs", decision.retryAfterMs())
+                .log("quota: a request is over its customer's limit");
+    }
+
     void logEnd(Exchange exchange, int status, String result) {
         String kind = exchange.route.kind().name();
         requestsEnded.labelValues(kind, Integer.toString(status)).inc();
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -27,7 +27,7 @@
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.DigestPart;
 import org.celerygw.core.gen.peers.PermitReply;
-import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.peers.DigestSplitter;
 import org.celerygw.core.peers.DigestTargets;
@@ -67,6 +67,7 @@
     private final BiConsumer<Integer, Integer> onGroup;
     private final Consumer<Digest> onDigest;
     private final Permits permits;
+    private final CustomerQuotas quotas;
     private HostGroup<Peer> group = new HostGroup<>(List.of(), 0, 1);
     private @Nullable Channel socket;
     private final DigestSplitter splitter = new DigestSplitter();
@@ -92,7 +93,8 @@
             LocalDigest localDigest,
             BiConsumer<Integer, Integer> onGroup,
             Consumer<Digest> onDigest,
-            Permits permits) {
+            Permits permits,
+            CustomerQuotas quotas) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.host = host;
@@ -103,6 +105,7 @@
         this.onGroup = onGroup;
         this.onDigest = onDigest;
         this.permits = permits;
+        this.quotas = quotas;
     }
 
     /** Starts to receive datagrams; fails when the address cannot be bound. */
@@ -190,9 +193,8 @@
         return unreadDatagrams;
     }
 
-    /** Sends a request for a permit to the host of that name; does nothing if the host is not known. */
-    void send(String receiver, PermitRequest request) {
-        Digest datagram = Digest.newBuilder().setPermitRequest(request).build();
+    /** Sends a datagram without digest to the host of that name; does nothing if the host is not known. */
+    void send(String receiver, Digest datagram) {
         peer(receiver).ifPresent(p -> send(p.address, datagram));
     }
 
@@ -214,7 +216,7 @@
         }
     }
 
-    private void receivePermitDatagram(InetSocketAddress sender, Digest datagram) {
+    private void receiveLimitDatagram(InetSocketAddress sender, Digest datagram) {
         if (datagram.hasPermitRequest()) {
             PermitReply reply = permits.answer(datagram.getPermitRequest());
             send(sender, Digest.newBuilder().setPermitReply(reply).build());
@@ -222,6 +224,15 @@
         if (datagram.hasPermitReply()) {
             permits.onReply(datagram.getPermitReply());
         }
+        if (datagram.hasQuotaRequest()) {
+            quotas.answer(
+                    datagram.getQuotaRequest(),
+                    reply -> send(
+                            sender, Digest.newBuilder().setQuotaReply(reply).build()));
+        }
+        if (datagram.hasQuotaReply()) {
+            quotas.onReply(datagram.getQuotaReply());
+        }
     }
 
     private void receive(InetSocketAddress sender, byte[] bytes) {
@@ -232,7 +243,7 @@
             if (peer != null && digest.hasContinued()) {
                 receivePart(peer, digest.getContinued());
             } else if (peer == null || digest.getHost().isEmpty()) {
-                receivePermitDatagram(sender, digest);
+                receiveLimitDatagram(sender, digest);
             } else {
                 receiveDigest(sender, peer, digest);
             }
@@ -247,6 +258,7 @@
 
     private void receiveDigest(InetSocketAddress sender, Peer peer, Digest digest) {
         permits.onHostAlive(digest.getHost());
+        quotas.onHostAlive(digest.getHost());
         if (peer.digest.getHost().isEmpty()) {
             LOG.atInfo()
                     .addKeyValue("peer", digest.getHost())
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -22,8 +22,11 @@
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.peers.WaitingCodec;
 import org.celerygw.core.scheduling.QueueLength;
@@ -172,6 +175,7 @@
      * @param health whether and how quickly the store answers this host
      * @param localState the state of this host to report
      * @param permits the permits that hosts ask each other for
+     * @param quotas the quotas of customers
      * @param serverRelay handles the requests to backend servers that peers send through this host
      */
     public Peers(
@@ -189,6 +193,7 @@
             StoreHealth health,
             LocalState localState,
             Permits permits,
+            CustomerQuotas quotas,
             RequestHandler serverRelay) {
         this.loop = loop;
         this.clock = clock;
@@ -211,7 +216,8 @@
                 this::localDigest,
                 localState::onGroup,
                 this::onDigest,
-                permits);
+                permits,
+                quotas);
         seeds.forEach(peers::add);
     }
 
@@ -364,7 +370,27 @@
      * @param request the request
      */
     public void sendPermitRequest(String receiver, PermitRequest request) {
-        digests.send(receiver, request);
+        digests.send(receiver, Digest.newBuilder().setPermitRequest(request).build());
+    }
+
+    /**
+     * Sends a request to the host that may keep the account of a customer's quota.
+     *
+     * @param receiver the host's name
+     * @param request the request
+     */
+    public void sendQuotaRequest(String receiver, QuotaRequest request) {
+        digests.send(receiver, Digest.newBuilder().setQuotaRequest(request).build());
+    }
+
+    /**
+     * Sends a notice about a customer's quota to another host.
+     *
+     * @param receiver the host's name
+     * @param notice the notice
+     */
+    public void sendQuotaNotice(String receiver, QuotaReply notice) {
+        digests.send(receiver, Digest.newBuilder().setQuotaReply(notice).build());
     }
 
     /**
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -13,11 +13,16 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.limits.CustomerQuotas;
+import org.celerygw.core.limits.QuotaBounds;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.CustomerDirectory;
@@ -104,6 +109,7 @@
                 new ServerLinks(clock, scheduler, new TestDialect(), servers, originPools, PeerRoute.NONE),
                 new ProgramStore(partitions, "host" + hostCount++, clock, scheduler, 60_000, 1_000_000),
                 new Quarantine("host"),
+                new CustomerQuotas("host", clock, scheduler, new QuotaBounds(5_000, 0.1, 0), new OnlyHost()),
                 new RequestLog(new PrometheusRegistry()),
                 () -> {},
                 () -> {});
@@ -273,4 +279,26 @@
     static void writeChunk(OutputStream out, String text) throws IOException {
         out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
+
+    /** A host without others. */
+    private static final class OnlyHost implements CustomerQuotas.Network {
+        @Override
+        public Collection<String> hosts() {
+            return List.of();
+        }
+
+        @Override
+        public boolean mayKeep() {
+            return true;
+        }
+
+        @Override
+        public void send(String host, QuotaRequest request) {}
+
+        @Override
+        public void sendNotice(String host, QuotaReply notice) {}
+
+        @Override
+        public void announce(String host) {}
+    }
 }
--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -22,8 +22,12 @@
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.gen.peers.PermitReply;
 import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
 import org.celerygw.core.gen.peers.ServerLoad;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.limits.QuotaBounds;
 import org.celerygw.core.peers.DigestSplitter;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.servers.BackendServer;
@@ -80,7 +84,8 @@
                 withSuspects -> Digest.newBuilder(),
                 (index, count) -> {},
                 this::onDigest,
-                permits);
+                permits,
+                new CustomerQuotas("host", clock, scheduler, new QuotaBounds(5_000, 0.1, 20), new NoQuotaHosts()));
         digests.bind(loop, host).toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
@@ -218,7 +223,12 @@
             digest.clearHost()
                     .setPermitRequest(
                             PermitRequest.newBuilder().setServer("i-1").setLimitPerS(random.nextDouble()))
-                    .setPermitReply(PermitReply.newBuilder().setId(random.nextLong()));
+                    .setPermitReply(PermitReply.newBuilder().setId(random.nextLong()))
+                    .setQuotaRequest(QuotaRequest.newBuilder()
+                            .setCustomer("c")
+                            .setLimitPerS(random.nextDouble())
+                            .setUsedTokens(random.nextInt(9)))
+                    .setQuotaReply(QuotaReply.newBuilder().setCustomer("c").setValidityMs(random.nextInt()));
         }
         return digest.build();
     }
@@ -241,4 +251,26 @@
         @Override
         public void send(String host, PermitRequest request) {}
     }
+
+    /** The same for quotas. */
+    private static final class NoQuotaHosts implements CustomerQuotas.Network {
+        @Override
+        public Collection<String> hosts() {
+            return List.of();
+        }
+
+        @Override
+        public boolean mayKeep() {
+            return true;
+        }
+
+        @Override
+        public void send(String host, QuotaRequest request) {}
+
+        @Override
+        public void sendNotice(String host, QuotaReply notice) {}
+
+        @Override
+        public void announce(String host) {}
+    }
 }
