Keep connections to servers for as long as their Keep-Alive header allows

Cause: idle connections were closed after 4 s at most and 60 percent of the stated time-out, so that a server that states 5 s was connected to again after 3 s. A request that cannot be repeated took no connection older than 1.5 s, and closed all the older ones on its way, which repeatable requests could still have used.

Change: a connection stays open until 1.25 s before its stated time-out (the seconds may be rounded up), 30 s at most; 4 s as before if the server states none. A request that cannot be repeated takes one that has been idle for less than half of the stated time-out, or 1.5 s as before, and leaves older ones to others. The most recently used one is still taken first; what is retried does not change.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/OriginPools.java
@@ -12,12 +12,13 @@
 public final class OriginPools {
     private static final int CONNECT_TIMEOUT_MS = 400;
     private static final long MAX_IDLE_MS = 4_000;
+    private static final long MAX_STATED_IDLE_MS = 30_000;
     private static final int MAX_IDLE_CONNECTIONS = 24;
     /** Twice the largest body that is passed on, for its framing. */
     private static final long MAX_RESPONSE_BYTES = 8L << 20;
 
-    private static final OriginPool.Limits LIMITS =
-            new OriginPool.Limits(CONNECT_TIMEOUT_MS, MAX_IDLE_MS, MAX_IDLE_CONNECTIONS, MAX_RESPONSE_BYTES);
+    private static final OriginPool.Limits LIMITS = new OriginPool.Limits(
+            CONNECT_TIMEOUT_MS, MAX_IDLE_MS, MAX_STATED_IDLE_MS, MAX_IDLE_CONNECTIONS, MAX_RESPONSE_BYTES);
 
     private final EventLoop eventLoop;
     private final Clock clock;
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -40,6 +40,8 @@
     private static final int PART_OVERHEAD_BYTES = 64;
 
     private static final int MAX_COLLECTED_BYTES = 65_536;
+    /** Servers state whole seconds, which may be rounded up; the rest is for the request's way. */
+    private static final long STATED_TIMEOUT_MARGIN_MS = 1_250;
 
     private final OriginPool pool;
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
@@ -160,11 +162,20 @@
     }
 
     /**
-     * Returns how long the connection may stay idle, in ms: at most the given limit, and well below the time-out in the
-     * server's Keep-Alive header (60 percent of it).
+     * Returns how long the connection may stay idle, in ms: below the time-out in the server's Keep-Alive header by a
+     * margin, or for short time-outs 60 percent of it.
      */
-    long maxIdleMs(long ownLimitMs) {
-        return Math.min(ownLimitMs, serverKeepAliveMs / 10 * 6);
+    long maxIdleMs(OriginPool.Limits limits) {
+        if (serverKeepAliveMs == Long.MAX_VALUE) {
+            return limits.maxIdleMs();
+        }
+        long keptMs = Math.max(serverKeepAliveMs - STATED_TIMEOUT_MARGIN_MS, serverKeepAliveMs / 10 * 6);
+        return Math.min(limits.maxStatedIdleMs(), keptMs);
+    }
+
+    /** Returns the time-out in the server's Keep-Alive header, in ms; 0 if it states none. */
+    long statedTimeoutMs() {
+        return serverKeepAliveMs == Long.MAX_VALUE ? 0 : serverKeepAliveMs;
     }
 
     /**
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -36,11 +36,25 @@
      * The limits of a pool.
      *
      * @param connectTimeoutMs the maximum time to establish a connection, in ms
-     * @param maxIdleMs how long an idle connection stays open, in ms
+     * @param maxIdleMs how long an idle connection stays open whose origin states no time-out, in ms
+     * @param maxStatedIdleMs how long an idle connection stays open at most whose origin states a time-out, in ms
      * @param maxIdleConnections how many idle connections stay open
      * @param maxResponseBytes how many bytes an origin may send for one request, framing included; then the request fails
      */
-    public record Limits(int connectTimeoutMs, long maxIdleMs, int maxIdleConnections, long maxResponseBytes) {}
+    public record Limits(
+            int connectTimeoutMs, long maxIdleMs, long maxStatedIdleMs, int maxIdleConnections, long maxResponseBytes) {
+        /**
+         * Creates limits by which no idle connection stays open for longer, whatever its origin states.
+         *
+         * @param connectTimeoutMs the maximum time to establish a connection, in ms
+         * @param maxIdleMs how long an idle connection stays open, in ms
+         * @param maxIdleConnections how many idle connections stay open
+         * @param maxResponseBytes how many bytes an origin may send for one request
+         */
+        public Limits(int connectTimeoutMs, long maxIdleMs, int maxIdleConnections, long maxResponseBytes) {
+            this(connectTimeoutMs, maxIdleMs, maxIdleMs, maxIdleConnections, maxResponseBytes);
+        }
+    }
 
     /** A request in flight. */
     public interface PendingRequest {
@@ -97,7 +111,8 @@
      *
      * @param request the request to send
      * @param responseFilter whether a response head belongs to this request; other responses are skipped
-     * @param maxIdleMs the longest idle time after which a connection is reused, in ms
+     * @param maxIdleMs the longest idle time after which a connection is reused, in ms; half of the time-out that the
+     *     origin states for the connection, if that is longer
      * @param handler receives the response
      * @return the request in flight, which can be cancelled
      */
@@ -185,7 +200,7 @@
         Iterator<OriginChannel> channels = idle.iterator();
         while (channels.hasNext()) {
             OriginChannel channel = channels.next();
-            if (channel.idleMs(clock.nowMs()) > channel.maxIdleMs(limits.maxIdleMs())) {
+            if (channel.idleMs(clock.nowMs()) > channel.maxIdleMs(limits)) {
                 channels.remove();
                 channel.close();
             }
@@ -208,10 +223,17 @@
     }
 
     private @Nullable OriginChannel takeIdle(long maxIdleMs) {
+        // The most recently used one is the last; it is the least likely to be closed by its origin at this moment.
         while (!idle.isEmpty()) {
-            OriginChannel channel = idle.pollLast();
-            long limitMs = Math.min(maxIdleMs, channel.maxIdleMs(limits.maxIdleMs()));
-            if (channel.isOpen() && channel.idleMs(clock.nowMs()) <= limitMs) {
+            OriginChannel channel = idle.peekLast();
+            long idleMs = channel.idleMs(clock.nowMs());
+            boolean usable = channel.isOpen() && idleMs <= channel.maxIdleMs(limits);
+            if (usable && idleMs > Math.max(maxIdleMs, channel.statedTimeoutMs() / 2)) {
+                // Too old for this request, as are all the others, but not for one that can be repeated.
+                return null;
+            }
+            idle.removeLast();
+            if (usable) {
                 return channel;
             }
             channel.close();
