Let groups and zones of hosts help each other

Cause: a large fleet uses the engines of other groups and zones only if one of two looks half empty, so that a zone with 1.5 times its mean demand queues while the next one is idle, and engines of zones without hosts are hardly used.

Change: digests of a round report the free room of the host's zone and of a few others in turn (ZoneRooms). A host whose group lacks room borrows from other groups of its zone, then from other zones, at a rate in proportion to their room (Spillover); the queue starts waiting requests on borrowed room as well. Each engine of a zone without hosts belongs to one group.

--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -120,6 +120,7 @@
         this.selector = selector;
         this.peersWaiting = peersWaiting;
         this.random = random;
+        selector.setServiceMs(service -> serviceMs.getOrDefault(service, DEFAULT_SERVICE_MS));
     }
 
     /**
@@ -326,7 +327,8 @@
             return 0;
         }
         double room = selector.freeRoom(servers.byService(service), nowMs);
-        double share = room * ownWaiting / (ownWaiting + peersWaitingAlike);
+        double share = room * ownWaiting / (ownWaiting + peersWaitingAlike)
+                + selector.borrowableRoom(servers.byService(service), nowMs);
         return Math.min(ownWaiting, (int) (share + random.getAsDouble()));
     }
 
--- a/core/src/main/java/org/celerygw/core/servers/EngineGroup.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineGroup.java
@@ -15,6 +15,9 @@
  * where no host is, so that each engine belongs to some group.
  */
 final class EngineGroup {
+    /** About the number of hosts in a group of a large fleet. */
+    static final int TYPICAL_HOSTS = 10;
+
     private final String zone;
     private int index;
     private int count = 1;
--- a/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
@@ -47,7 +47,7 @@
     }
 
     /** Returns the load with one more request, scaled by speed: the least is the first to end. */
-    private static Comparator<TrackedServer> byExpectedCompletion(long nowMs) {
+    static Comparator<TrackedServer> byExpectedCompletion(long nowMs) {
         return Comparator.comparingDouble(
                 server -> (server.load() + 1) * server.speed().slowness(nowMs));
     }
@@ -125,14 +125,20 @@
 
     /** Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error. */
     private List<TrackedServer> borrowed(List<TrackedServer> others, Placement placement, long nowMs) {
+        if (others.stream().noneMatch(this::mayBorrow)) {
+            return List.of();
+        }
         int choices = group.count() == 1 ? others.size() : BORROW_CHOICES;
         return Rendezvous.order(others, placement.affinityKey(), weight(nowMs), choices).stream()
-                .filter(server -> group.count() == 1
-                        || server.load()
-                                < OTHER_GROUPS_MAX_SHARE * server.entry().slots())
+                .filter(this::mayBorrow)
                 .toList();
     }
 
+    private boolean mayBorrow(TrackedServer server) {
+        return group.count() == 1
+                || server.load() < OTHER_GROUPS_MAX_SHARE * server.entry().slots();
+    }
+
     /**
      * Selects an engine for a request whose own engine needs a permit: any of the fleet, in whatever zone. The engines of
      * a group or a zone may nearly all have a limit, and the others then take the requests of all groups evenly.
--- a/core/src/main/java/org/celerygw/core/servers/Rendezvous.java
+++ b/core/src/main/java/org/celerygw/core/servers/Rendezvous.java
@@ -1,8 +1,10 @@
 package org.celerygw.core.servers;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -21,28 +23,33 @@
 
     /** Returns the hash of a server and a key. */
     static long hash(TrackedServer server, String key) {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putString(server.entry().id(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putString(key, StandardCharsets.UTF_8)
-                .hash()
-                .asLong();
+        return hash(server.idBytes(), key.getBytes(UTF_8));
+    }
+
+    private static long hash(byte[] name, byte[] key) {
+        byte[] bytes = Arrays.copyOf(name, name.length + 1 + key.length);
+        System.arraycopy(key, 0, bytes, name.length + 1, key.length);
+        return Hashing.murmur3_128().hashBytes(bytes).asLong();
+    }
+
+    /** Returns the score of a name for a key; with equal weights, in the order of the hashes. */
+    static double score(String name, String key, double weight) {
+        return score(name.getBytes(UTF_8), key.getBytes(UTF_8), weight);
     }
 
-    /** Returns a server's score for a key; with equal weights, in the order of the hashes. */
-    static double score(TrackedServer server, String key, double weight) {
-        double uniform = (hash(server, key) + TWO_POW_64 / 2 + 0.5) / TWO_POW_64;
+    private static double score(byte[] name, byte[] key, double weight) {
+        double uniform = (hash(name, key) + TWO_POW_64 / 2 + 0.5) / TWO_POW_64;
         return -weight / Math.log(Math.min(uniform, Math.nextDown(1.0)));
     }
 
     /** Returns the first server of a key's order. */
     static Optional<TrackedServer> first(
             List<TrackedServer> servers, String key, ToDoubleFunction<TrackedServer> weight) {
+        byte[] keyBytes = key.getBytes(UTF_8);
         TrackedServer first = null;
         double highest = Double.NEGATIVE_INFINITY;
         for (TrackedServer server : servers) {
-            double score = score(server, key, weight.applyAsDouble(server));
+            double score = score(server.idBytes(), keyBytes, weight.applyAsDouble(server));
             if (first == null || score > highest) {
                 first = server;
                 highest = score;
@@ -54,8 +61,10 @@
     /** Returns the servers in a key's order, which ends after the given number. */
     static List<TrackedServer> order(
             List<TrackedServer> servers, String key, ToDoubleFunction<TrackedServer> weight, int count) {
+        byte[] keyBytes = key.getBytes(UTF_8);
         List<Scored> scored = new ArrayList<>(servers.size());
-        servers.forEach(server -> scored.add(new Scored(server, score(server, key, weight.applyAsDouble(server)))));
+        servers.forEach(server ->
+                scored.add(new Scored(server, score(server.idBytes(), keyBytes, weight.applyAsDouble(server)))));
         return scored.stream()
                 .sorted(Comparator.comparingDouble(Scored::score).reversed())
                 .limit(count)
--- a/core/src/main/java/org/celerygw/core/servers/ServerList.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerList.java
@@ -150,6 +150,19 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the services that have a server.
+     *
+     * @return their names, in order
+     */
+    public List<String> services() {
+        return byService.entrySet().stream()
+                .filter(entry -> !entry.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
     /**
      * Returns the servers of a service that run one version of its software, usable or not.
      *
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
 
@@ -22,6 +23,7 @@
     private final EngineGroup group;
     private final EngineSelector engineSelector;
     private final PlainSelector plainSelector;
+    private final Spillover spillover;
     private final Consumer<TrackedServer> onPermitNeeded;
     private int firstAsked;
     private ToIntFunction<String> memoryTokens = service -> 0;
@@ -34,7 +36,8 @@
      */
     public ServerSelector(String zone, Consumer<TrackedServer> onPermitNeeded) {
         this.group = new EngineGroup(zone);
-        this.engineSelector = new EngineSelector(group, new Spillover());
+        this.spillover = new Spillover(group);
+        this.engineSelector = new EngineSelector(group, spillover);
         this.plainSelector = new PlainSelector(group);
         this.onPermitNeeded = onPermitNeeded;
     }
@@ -49,6 +52,67 @@
         group.set(index, count);
     }
 
+    /**
+     * Sets the zones in which hosts are, so that the engines of the others are used as well.
+     *
+     * @param zones the zones of all live hosts
+     */
+    public void setHostZones(Set<String> zones) {
+        group.setHostZones(zones);
+    }
+
+    /**
+     * Sets the mean service times, by which waits are estimated.
+     *
+     * @param byService returns the mean service time of a service, in ms
+     */
+    public void setServiceMs(ToDoubleFunction<String> byService) {
+        spillover.setServiceMs(byService);
+    }
+
+    /**
+     * Returns what is known of the free room of the zones.
+     *
+     * @return the rooms, to which reports of other hosts are added
+     */
+    public ZoneRooms zoneRooms() {
+        return spillover.rooms();
+    }
+
+    /**
+     * Returns the room of this host's zone, for hosts of other groups: that of the group's engines times the number of
+     * groups.
+     *
+     * @param servers the service's servers
+     * @param waiting the number of requests that wait for them at the hosts of the group
+     * @param nowMs the current time, in ms
+     * @return the room; empty if the group uses the engines of other zones, since its own have none
+     */
+    public Optional<ZoneRooms.ZoneRoom> localRoom(List<TrackedServer> servers, int waiting, long nowMs) {
+        List<TrackedServer> local = group.subset(servers, candidates(servers, Set.of(), nowMs)).stream()
+                .filter(server -> group.isInZone(server) && server.entry().slots() > 0)
+                .toList();
+        if (local.isEmpty()) {
+            return Optional.empty();
+        }
+        int free = local.stream()
+                .mapToInt(server -> Math.max(0, server.entry().slots() - server.load()))
+                .sum();
+        return Optional.of(new ZoneRooms.ZoneRoom(
+                local.get(0).entry().service(), group.zone(), free * group.count(), waiting * group.count(), 0));
+    }
+
+    /**
+     * Returns how many requests this host may send to engines of other groups and zones now, since these have room.
+     *
+     * @param servers the service's servers
+     * @param nowMs the current time, in ms
+     * @return the number of requests; 0 if the zone has one group of hosts
+     */
+    public double borrowableRoom(List<TrackedServer> servers, long nowMs) {
+        return servers.isEmpty() ? 0 : spillover.borrowableRoom(servers, nowMs);
+    }
+
     /**
      * Sets the memory of the engines.
      *
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -1,5 +1,7 @@
 package org.celerygw.core.servers;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 /**
  * One incarnation of a backend server with its load and its health, as derived from its responses and from the peers'
  * digests. Not thread-safe.
@@ -13,6 +15,7 @@
     private static final double HIGH_FAILURE_RATE = 0.25;
     private static final double FAILURE_RATE_HALF_LIFE_MS = 3_000;
 
+    private final byte[] idBytes;
     private BackendServer entry;
     private boolean hasLeft;
     private boolean leaving;
@@ -30,6 +33,7 @@
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
+        this.idBytes = entry.id().getBytes(UTF_8);
     }
 
     /**
@@ -291,6 +295,11 @@
         return speed;
     }
 
+    /** Returns the id, encoded once for the hashes of many decisions; not to be changed. */
+    byte[] idBytes() {
+        return idBytes;
+    }
+
     /** Records the entry as registered now, for the first time, changed, or again. */
     void onRegistered(BackendServer newEntry) {
         entry = newEntry;
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -11,6 +11,8 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToDoubleBiFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.celerygw.core.gen.peers.Digest;
 import org.celerygw.core.peers.DigestTargets;
@@ -18,9 +20,11 @@
 import org.celerygw.core.peers.HostGroup;
 import org.celerygw.core.peers.ReceivedDigest;
 import org.celerygw.core.peers.WaitingCodec;
+import org.celerygw.core.peers.ZoneRoomCodec;
 import org.celerygw.core.servers.BackendServer;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
+import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 
 /**
@@ -48,6 +52,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final Map<String, Engine> engines = new HashMap<>();
     private final Options options;
+    private final Fleet fleet;
     final List<Double> engineWaitsMs = new ArrayList<>();
     int inTime;
     int late;
@@ -63,6 +68,24 @@
      */
     record Options(int hosts, int engines, int slots, boolean sendsChanges, boolean queues, double lossRate) {}
 
+    /**
+     * How the zones and engines differ.
+     *
+     * @param zones the number of zones
+     * @param hostZones the number of zones in which hosts are
+     * @param slowness returns the slowness of an engine by its index and the time in ms; infinite once it has left
+     * @param demand returns the demand of a zone by its index and the time in ms, relative to the others
+     * @param helps whether hosts learn speeds and exchange the free room of their zones
+     */
+    record Fleet(
+            int zones,
+            int hostZones,
+            ToDoubleBiFunction<Integer, Double> slowness,
+            ToDoubleBiFunction<Integer, Double> demand,
+            boolean helps) {
+        private static final Fleet EQUAL = new Fleet(3, 3, (engine, nowMs) -> 1, (zone, nowMs) -> 1, false);
+    }
+
     private record Event(double atMs, Runnable action) {}
 
     /** A program with its turns left. */
@@ -106,21 +129,33 @@
 
     /** An engine with its requests in arrival order. */
     private final class Engine {
+        final int index;
         final int slots;
         final Deque<Runnable> queue = new ArrayDeque<>();
         int running;
+        double busyMs;
+        double sinceMs;
 
-        Engine(int slots) {
+        Engine(int index, int slots) {
+            this.index = index;
             this.slots = slots;
         }
 
+        /** Adds the time for which the present number of requests has run. */
+        void addBusyTime() {
+            busyMs += running * (nowMs - sinceMs);
+            sinceMs = nowMs;
+        }
+
         void accept(double durationMs, Runnable onEnd) {
             double arrivedMs = nowMs;
             Runnable run = () -> {
+                addBusyTime();
                 running++;
                 engineWaitsMs.add(nowMs - arrivedMs);
                 double slowdown = 1 + SLOWDOWN_PER_REQUEST * running;
-                at(durationMs * slowdown, () -> {
+                at(durationMs * slowdown * Math.min(10, fleet.slowness().applyAsDouble(index, nowMs)), () -> {
+                    addBusyTime();
                     running--;
                     onEnd.run();
                     if (!queue.isEmpty()) {
@@ -146,6 +181,7 @@
         final FleetLoadEstimator estimator = new FleetLoadEstimator(ROUND_SIZE, (long) ROUND_MS);
         final DigestTargets targets = new DigestTargets(ROUND_SIZE);
         final Map<Host, ReceivedDigest> digests = new HashMap<>();
+        final SpeedLearner learner = new SpeedLearner();
         HostGroup<Host> group = new HostGroup<>(List.of(), 0, 1);
         boolean changePending;
         boolean pollPending;
@@ -197,6 +233,7 @@
             public void start(TrackedServer server) {
                 double startedMs = nowMs;
                 double durationMs = program.turnsMs.poll();
+                int load = server.load();
                 server.requestStarted();
                 loadChanged();
                 at(NETWORK_MS, () -> engines.get(server.entry().id())
@@ -205,6 +242,10 @@
                                 () -> at(NETWORK_MS, () -> {
                                     server.requestEnded();
                                     queue.recordServiceTime("e", (long) (nowMs - startedMs));
+                                    if (fleet.helps()) {
+                                        learner.recordResponse(
+                                                server, "r", load, (long) (nowMs - startedMs), (long) nowMs);
+                                    }
                                     loadChanged();
                                     queue.poll((long) nowMs);
                                     program.nextTurn();
@@ -234,7 +275,7 @@
                 changePending = true;
                 at(CHANGE_DELAY_MS, () -> {
                     changePending = false;
-                    send(group.peers());
+                    send(group.peers(), false);
                 });
             }
         }
@@ -242,7 +283,13 @@
         void runRound() {
             group = HostGroup.of(others(), name, zone, h -> h.name, h -> h.zone);
             selector.setGroup(group.index(), group.count());
-            send(targets.nextRound(others()));
+            if (fleet.helps()) {
+                selector.setHostZones(hosts.stream().map(h -> h.zone).collect(Collectors.toSet()));
+            }
+            IntStream.range(0, options.engines())
+                    .filter(i -> Double.isInfinite(fleet.slowness().applyAsDouble(i, nowMs)))
+                    .forEach(i -> servers.remove("e" + i, (long) nowMs));
+            send(targets.nextRound(others()), true);
             List<ReceivedDigest> received = new ArrayList<>();
             digests.forEach((host, last) -> received.add(new ReceivedDigest(
                     last.digest(), last.receivedAtMs(), group.peers().contains(host))));
@@ -250,19 +297,31 @@
             at(ROUND_MS, this::runRound);
         }
 
-        void send(List<Host> receivers) {
+        void send(List<Host> receivers, boolean inRound) {
             Digest digest = Digest.newBuilder()
                     .setHost(name)
                     .putAllWaiting(WaitingCodec.encode(queue.waitingByService()))
                     .addAllStarted(queue.recentlyStarted((long) nowMs))
                     .addAllLoads(FleetLoadEstimator.localLoads(servers, (long) nowMs))
+                    .addAllZoneRoom(
+                            inRound && fleet.helps()
+                                    ? ZoneRoomCodec.encode(servers, selector, this::waiting, (long) nowMs)
+                                    : List.of())
                     .build();
             receivers.stream()
                     .filter(r -> random.nextDouble() >= options.lossRate())
                     .forEach(r -> at(NETWORK_MS, () -> r.receive(this, digest)));
         }
 
+        private int waiting(String service) {
+            QueueLength all = queue.waitingByService()
+                    .getOrDefault(service, QueueLength.NONE)
+                    .plus(waitingAtPeers(service));
+            return all.underWay() + all.others();
+        }
+
         void receive(Host sender, Digest digest) {
+            ZoneRoomCodec.apply(digest.getZoneRoomList(), selector.zoneRooms(), (long) nowMs);
             queue.startedElsewhere(digest.getStartedList());
             boolean sameGroup = group.peers().contains(sender);
             ReceivedDigest previous = digests.put(sender, new ReceivedDigest(digest, (long) nowMs, sameGroup));
@@ -283,12 +342,18 @@
     }
 
     SimulatedHosts(Options options) {
+        this(options, Fleet.EQUAL);
+    }
+
+    SimulatedHosts(Options options, Fleet fleet) {
         this.options = options;
-        IntStream.range(0, options.hosts()).forEach(i -> hosts.add(new Host("h" + (100 + i), "z" + i % 3)));
+        this.fleet = fleet;
+        IntStream.range(0, options.hosts())
+                .forEach(i -> hosts.add(new Host("h" + (100 + i), "z" + i % fleet.hostZones())));
         IntStream.range(0, options.engines()).forEach(i -> {
-            engines.put("e" + i, new Engine(options.slots()));
-            hosts.forEach(h -> h.servers.put(
-                    new BackendServer("e" + i, "e", "127.0.0.1", 1, "z" + i % 3, "v1", options.slots(), false, 1)));
+            engines.put("e" + i, new Engine(i, options.slots()));
+            hosts.forEach(h -> h.servers.put(new BackendServer(
+                    "e" + i, "e", "127.0.0.1", 1, "z" + i % fleet.zones(), "v1", options.slots(), false, 1)));
         });
         hosts.forEach(h -> at(ROUND_MS * random.nextDouble(), h::runRound));
     }
@@ -311,6 +376,9 @@
         at(-meanGapMs * Math.log(1 - random.nextDouble()), () -> {
             // The exponent makes the first hosts receive several times as many programs as the last ones.
             Host host = hosts.get((int) (hosts.size() * Math.pow(random.nextDouble(), 1.5)));
+            while (isTurnedAway(host)) {
+                host = hosts.get(random.nextInt(hosts.size()));
+            }
             new Program(host, random.nextDouble() < 0.8 ? 3 : 9).nextTurn();
             if (nowMs < untilMs) {
                 scheduleArrival(meanGapMs, untilMs);
@@ -318,6 +386,11 @@
         });
     }
 
+    private boolean isTurnedAway(Host host) {
+        double demand = fleet.demand().applyAsDouble(hosts.indexOf(host) % fleet.hostZones(), nowMs);
+        return demand < 1 && random.nextDouble() > demand;
+    }
+
     private void at(double delayMs, Runnable action) {
         events.add(new Event(nowMs + delayMs, action));
     }
@@ -327,6 +400,17 @@
         return inTime / (double) (inTime + late + refused);
     }
 
+    /** Returns the mean number of requests at the busiest engine, divided by that of all; less than 1 is for none. */
+    double busiestOverMean() {
+        return engines.values().stream().mapToDouble(e -> e.busyMs).max().orElseThrow()
+                / engines.values().stream().mapToDouble(e -> e.busyMs).average().orElseThrow();
+    }
+
+    /** Returns how many engines ran no request. */
+    long unusedEngines() {
+        return engines.values().stream().filter(e -> e.busyMs == 0).count();
+    }
+
     /** Returns a percentile of the time that requests waited at engines, in ms. */
     double engineWaitMs(double fraction) {
         List<Double> sorted = engineWaitsMs.stream().sorted().toList();
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -11,12 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.gen.peers.ZoneRoom;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.ZoneRoomCodec;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
@@ -433,6 +436,28 @@
             serverSelector.setGroup(index, count);
         }
 
+        @Override
+        public void onHostZones(Set<String> zones) {
+            serverSelector.setHostZones(zones);
+            serverSelector.zoneRooms().removeExpired(clock.nowMs());
+        }
+
+        @Override
+        public List<ZoneRoom> zoneRooms() {
+            return ZoneRoomCodec.encode(servers, serverSelector, this::waiting, clock.nowMs());
+        }
+
+        private int waiting(String service) {
+            QueueLength own = engineQueue.waitingByService().getOrDefault(service, QueueLength.NONE);
+            QueueLength all = own.plus(peers.waitingAtPeers(service));
+            return all.underWay() + all.others();
+        }
+
+        @Override
+        public void onZoneRooms(List<ZoneRoom> rooms) {
+            ZoneRoomCodec.apply(rooms, serverSelector.zoneRooms(), clock.nowMs());
+        }
+
         @Override
         public void onNewerConfiguration() {
             configurationWatch.readFromPeer();
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -24,7 +24,9 @@
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.gen.peers.ZoneRoom;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.HostGroup;
 import org.celerygw.core.peers.WaitingCodec;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.ServerList;
@@ -143,6 +145,27 @@
          */
         void onGroup(int index, int count);
 
+        /**
+         * Called once per round with the availability zones of the live hosts.
+         *
+         * @param zones the zones
+         */
+        void onHostZones(Set<String> zones);
+
+        /**
+         * Returns the free room of the zones, for hosts of other groups.
+         *
+         * @return the reports, a bounded number
+         */
+        List<ZoneRoom> zoneRooms();
+
+        /**
+         * Called with the free room of zones that another host reports.
+         *
+         * @param rooms the reports
+         */
+        void onZoneRooms(List<ZoneRoom> rooms);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -201,7 +224,7 @@
                 servers,
                 peers,
                 this::localDigest,
-                localState::onGroup,
+                this::onGroup,
                 this::onDigest,
                 permits);
         seeds.forEach(peers::add);
@@ -217,12 +240,26 @@
         digests.suspectsChanged();
     }
 
+    private void onGroup(int index, int count) {
+        localState.onGroup(index, count);
+        localState.onHostZones(peers.live()
+                .map(p -> p.digest.getZone())
+                .filter(zone -> !zone.isEmpty())
+                .collect(Collectors.toSet()));
+    }
+
     private void onDigest(Digest digest) {
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
+        localState.onZoneRooms(digest.getZoneRoomList());
+    }
+
+    /** In a small fleet, each host knows the load of each server. */
+    private boolean isLargeFleet() {
+        return peers.live().count() >= HostGroup.MAX_HOSTS;
     }
 
-    private Digest.Builder localDigest(boolean withSuspects) {
+    private Digest.Builder localDigest(boolean inRound) {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
@@ -231,7 +268,8 @@
                 .setCutOff(localState.cutOff())
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
                 .addAllStarted(localState.recentlyStarted())
-                .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
+                .addAllSuspects(inRound ? localState.crashSuspects() : List.of())
+                .addAllZoneRoom(inRound && isLargeFleet() ? localState.zoneRooms() : List.of());
     }
 
     /**
