--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -18,9 +19,11 @@
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.gen.peers.QuotaReply;
 import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.gen.peers.ZoneRoom;
 import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.limits.QuotaBounds;
+import org.celerygw.core.peers.ZoneRoomCodec;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.RouteTable;
@@ -173,9 +176,7 @@
                 settings.maxRowBytes(),
                 PROGRAM_CACHE_BYTES);
         metrics.registerPeersAndPrograms(peers, programStore);
-        this.engineQueue =
-                new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
-                        .nextDouble());
+        this.engineQueue = createEngineQueue();
         metrics.registerQueue(engineQueue);
         metrics.registerLinks(links, originPools);
         metrics.registerServerProtection(servers, permits, quotas, quarantine, clock);
@@ -203,6 +204,11 @@
         serverWatch.start();
     }
 
+    private EngineQueue createEngineQueue() {
+        return new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
+                .nextDouble());
+    }
+
     private CustomerQuotas createQuotas() {
         GatewaySettings.CustomerBounds bounds = settings.customerBounds();
         return new CustomerQuotas(
@@ -473,6 +479,28 @@
             configFreshness.recordPeer(version, storeAnswers, configVersion(), clock.nowMs());
         }
 
+        @Override
+        public void onHostZones(Set<String> zones) {
+            serverSelector.setHostZones(zones);
+            serverSelector.zoneRooms().removeExpired(clock.nowMs());
+        }
+
+        @Override
+        public List<ZoneRoom> zoneRooms() {
+            return ZoneRoomCodec.encode(servers, serverSelector, this::waiting, clock.nowMs());
+        }
+
+        private int waiting(String service) {
+            QueueLength own = engineQueue.waitingByService().getOrDefault(service, QueueLength.NONE);
+            QueueLength all = own.plus(peers.waitingAtPeers(service));
+            return all.underWay() + all.others();
+        }
+
+        @Override
+        public void onZoneRooms(List<ZoneRoom> rooms) {
+            ZoneRoomCodec.apply(rooms, serverSelector.zoneRooms(), clock.nowMs());
+        }
+
         @Override
         public void onNewerConfiguration() {
             configurationWatch.readFromPeer();
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -26,8 +26,10 @@
 import org.celerygw.core.gen.peers.QuotaRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.gen.peers.ZoneRoom;
 import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.HostGroup;
 import org.celerygw.core.peers.WaitingCodec;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.ServerList;
@@ -154,6 +156,27 @@
          */
         void onPeerConfiguration(long version, boolean storeAnswers);
 
+        /**
+         * Called once per round with the availability zones of the live hosts.
+         *
+         * @param zones the zones
+         */
+        void onHostZones(Set<String> zones);
+
+        /**
+         * Returns the free room of the zones, for hosts of other groups.
+         *
+         * @return the reports, a bounded number
+         */
+        List<ZoneRoom> zoneRooms();
+
+        /**
+         * Called with the free room of zones that another host reports.
+         *
+         * @param rooms the reports
+         */
+        void onZoneRooms(List<ZoneRoom> rooms);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -215,7 +238,7 @@
                 peers,
                 this::localDigest,
                 this::anyWaiting,
-                localState::onGroup,
+                this::onGroup,
                 this::onDigest,
                 permits,
                 quotas);
@@ -237,15 +260,29 @@
                 || digests.group().anyMatch(p -> p.digest.getWaitingCount() > 0);
     }
 
+    private void onGroup(int index, int count) {
+        localState.onGroup(index, count);
+        localState.onHostZones(peers.live()
+                .map(p -> p.digest.getZone())
+                .filter(zone -> !zone.isEmpty())
+                .collect(Collectors.toSet()));
+    }
+
     private void onDigest(Digest digest) {
         if (digest.getConfigVersion() > 0) {
             localState.onPeerConfiguration(digest.getConfigVersion(), digest.getStoreAnswers());
         }
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
+        localState.onZoneRooms(digest.getZoneRoomList());
+    }
+
+    /** In a small fleet, each host knows the load of each server. */
+    private boolean isLargeFleet() {
+        return peers.live().count() >= HostGroup.MAX_HOSTS;
     }
 
-    private Digest.Builder localDigest(boolean withSuspects) {
+    private Digest.Builder localDigest(boolean inRound) {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
@@ -254,7 +291,8 @@
                 .setCutOff(localState.cutOff())
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
                 .addAllStarted(localState.recentlyStarted())
-                .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
+                .addAllSuspects(inRound ? localState.crashSuspects() : List.of())
+                .addAllZoneRoom(inRound && isLargeFleet() ? localState.zoneRooms() : List.of());
     }
 
     /**
