Share engines fairly among customers that compete, more urgent ranks first

Cause: one customer at several times its usual load took the engines from all others, and a less urgent route could be served before a more urgent one. Change: while several customers received work lately, EngineQueue orders by rank, then by how far a customer is above the mean work in the group of hosts (levels of a factor of two), then as before. Those above their share and less urgent ones leave a part of the room free. New programs above the share are refused at once if the customer's slots do not suffice for them. Each refusal by the queue is logged with customer, rank and wait. The reserve for a request that waits for memory holds for a whole poll, and the room that hosts share counts memory as well as slots.

--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -12,9 +13,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.celerygw.core.servers.Placement;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
@@ -25,7 +29,11 @@
  * as it can still be answered by its deadline, and is refused otherwise. Programs under way that can still end in time
  * come first, since a program stopped half way has cost its work already: a lower rank and then an earlier deadline before
  * others. All other requests follow, a lower rank and then the newest before others: of new programs, the newest has most
- * of its time left, and a late one gets its turn without holding up all that came after it. Not thread-safe.
+ * of its time left, and a late one gets its turn without holding up all that came after it.
+ *
+ * <p>While several customers compete, the rank decides first, then whether a customer has received more than its share in
+ * the group of hosts, and then the order above; requests of one rank and level are a class of the same precedence, of which
+ * hosts tell each other how many wait. Not thread-safe.
  *
  * <pre>{@code
  * queue.offer(request, waiter, nowMs);   // calls waiter.start or waiter.refuse, now or in a later poll
@@ -39,6 +47,16 @@
     private static final double DEFAULT_SERVICE_MS = 200;
     private static final long MIN_RETRY_AFTER_MS = 100;
     private static final double MIN_RATE_PER_S = 0.1;
+    private static final double MIN_SHARE_SLOTS = 0.05;
+    /** Part of the engines' room that a customer leaves free for each level above its share; docs/design/fair-queueing.md. */
+    private static final double RESERVED_SHARE_PER_LEVEL = 0.13;
+
+    /** Part of the room that less urgent requests leave free while more urgent ones arrive; 0.25 left these 0.72 in time. */
+    private static final double RESERVED_SHARE_FOR_RANKS = 0.35;
+
+    private static final long RANK_MEMORY_MS = 1_000;
+
+    private static final int MAX_PRECEDENCES_TOLD = 16;
     /** A request is refused at once if the expected wait is this many times what it can wait. */
     private static final int WAIT_ESTIMATE_TOLERANCE = 2;
 
@@ -46,11 +64,17 @@
             .thenComparingInt(entry -> entry.request.rank())
             .thenComparingLong(Entry::order)
             .thenComparingLong(entry -> entry.number);
+    private static final TreeSet<Entry> NOTHING = new TreeSet<>(ORDER);
+    private static final Comparator<Entry> FAIR_ORDER =
+            Comparator.<Entry>comparingInt(entry -> entry.precedence).thenComparing(ORDER);
 
     private final ServerList servers;
     private final ServerSelector selector;
     private final Function<String, QueueLength> peersWaiting;
+    private final Function<String, Map<Integer, QueueLength>> peersWaitingByPrecedence;
     private final DoubleSupplier random;
+    private final SortedMap<Integer, Long> rankSeenAtMs = new TreeMap<>();
+    private final CompetingCustomers customers = new CompetingCustomers();
     private final Map<String, TreeSet<Entry>> waiting = new HashMap<>();
     private final Map<String, Double> serviceMs = new HashMap<>();
     private final Map<Integer, Boolean> startedPrograms = new LinkedHashMap<>(256, 0.75f, true) {
@@ -89,12 +113,19 @@
         final Waiter waiter;
         final boolean underWay;
         final long number;
+        final int customer;
+        int precedence;
 
         Entry(EngineRequest request, Waiter waiter, boolean underWay, long number) {
             this.request = request;
             this.waiter = waiter;
             this.underWay = underWay;
             this.number = number;
+            this.customer = CompetingCustomers.key(request.customer());
+        }
+
+        boolean sameCustomerAndRank(Entry other) {
+            return customer == other.customer && request.rank() == other.request.rank();
         }
 
         /** Returns what decides among requests of the same rank; lower values start first. */
@@ -116,9 +147,28 @@
             ServerSelector selector,
             Function<String, QueueLength> peersWaiting,
             DoubleSupplier random) {
+        this(servers, selector, peersWaiting, service -> Map.of(), random);
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param servers the engines with their loads
+     * @param selector selects an engine that has room
+     * @param peersWaiting returns how many requests wait for a service's engines at the other hosts of the group
+     * @param peersWaitingByPrecedence returns the same by precedence
+     * @param random supplies numbers from 0 (inclusive) to 1 (exclusive)
+     */
+    public EngineQueue(
+            ServerList servers,
+            ServerSelector selector,
+            Function<String, QueueLength> peersWaiting,
+            Function<String, Map<Integer, QueueLength>> peersWaitingByPrecedence,
+            DoubleSupplier random) {
         this.servers = servers;
         this.selector = selector;
         this.peersWaiting = peersWaiting;
+        this.peersWaitingByPrecedence = peersWaitingByPrecedence;
         this.random = random;
     }
 
@@ -140,6 +190,10 @@
         }
         Entry entry = createEntry(request, waiter, nowMs);
         TreeSet<Entry> queue = waiting.computeIfAbsent(request.service(), service -> new TreeSet<>(ORDER));
+        if (customers.compete(nowMs)) {
+            offerFairly(entry, queue, nowMs);
+            return;
+        }
         int ahead = queue.headSet(entry).size();
         // A new program does not pass those that wait at other hosts.
         boolean mayPassPeers =
@@ -155,6 +209,59 @@
         }
     }
 
+    private void offerFairly(Entry entry, TreeSet<Entry> queue, long nowMs) {
+        String service = entry.request.service();
+        int ownAhead = (int)
+                queue.headSet(entry).stream().filter(entry::sameCustomerAndRank).count();
+        entry.precedence = precedence(entry, ownAhead, nowMs);
+        int ahead = (int) queue.stream()
+                .filter(other -> FAIR_ORDER.compare(other, entry) < 0)
+                .count();
+        boolean mayPassPeers = peersWaitingByPrecedence.apply(service).entrySet().stream()
+                .noneMatch(peers -> waitBefore(peers.getKey(), peers.getValue(), entry) > 0);
+        rankSeenAtMs.put(entry.request.rank(), nowMs);
+        double reserve = reserve(service, entry.precedence, nowMs);
+        boolean hasRoom = reserve == 0 || freeRoom(service, nowMs) > reserve;
+        if (ahead == 0 && mayPassPeers && hasRoom && tryStart(entry, Set.of(), nowMs)) {
+            return;
+        }
+        boolean aboveShare = isAboveShare(entry.precedence);
+        long waitMs = expectedWaitMs(service, ahead, nowMs);
+        if (aboveShare) {
+            waitMs = Math.max(waitMs, shareWaitMs(entry, ownAhead, nowMs));
+        }
+        // Of a customer above its share, new programs are refused rather than turns of those that have begun.
+        int tolerance = aboveShare && !entry.underWay ? 1 : WAIT_ESTIMATE_TOLERANCE;
+        if (nowMs + waitMs / tolerance > entry.request.latestStartMs()) {
+            entry.waiter.refuse(
+                    "cannot start in time on its customer's share: expected wait " + waitMs + " ms",
+                    retryAfterMs(waitMs));
+        } else {
+            queue.add(entry);
+        }
+    }
+
+    private int precedence(Entry entry, int ownAhead, long nowMs) {
+        int level = customers.level(entry.customer, ownAhead * serviceMs(entry.request.service()), nowMs);
+        return entry.request.rank() * CompetingCustomers.LEVELS + level;
+    }
+
+    /** Returns how many requests of a precedence that wait elsewhere start before a request offered here. */
+    private static int waitBefore(int precedence, QueueLength peers, Entry entry) {
+        if (precedence != entry.precedence) {
+            return precedence < entry.precedence ? peers.underWay() + peers.others() : 0;
+        }
+        return entry.underWay ? 0 : peers.underWay() + peers.others();
+    }
+
+    /** Returns the expected wait of a request above its customer's share, on the slots that the customer gets here. */
+    private long shareWaitMs(Entry entry, int ownAhead, long nowMs) {
+        String service = entry.request.service();
+        double shareSlots = running(service) / (double) customers.count(nowMs);
+        double slots = Math.max(customers.slots(entry.customer, nowMs), shareSlots);
+        return (long) ((ownAhead + 1) * serviceMs(service) / Math.max(MIN_SHARE_SLOTS, slots));
+    }
+
     private List<TrackedServer> engines(EngineRequest request) {
         return servers.byService(request.service(), request.softwareVersion());
     }
@@ -239,7 +346,54 @@
         return lengths;
     }
 
-    private static QueueLength length(TreeSet<Entry> queue) {
+    /**
+     * Returns how many requests wait at this host by precedence, while customers compete.
+     *
+     * @param nowMs the current time, in ms
+     * @return the numbers by service and precedence, those that start first; empty unless customers compete
+     */
+    public Map<String, Map<Integer, QueueLength>> waitingByPrecedence(long nowMs) {
+        Map<String, Map<Integer, QueueLength>> lengths = new HashMap<>();
+        if (customers.compete(nowMs)) {
+            waiting.forEach((service, queue) -> lengths.put(
+                    service,
+                    queue.stream()
+                            .collect(
+                                    Collectors.groupingBy(entry -> entry.precedence, TreeMap::new, Collectors.toList()))
+                            .entrySet()
+                            .stream()
+                            .limit(MAX_PRECEDENCES_TOLD)
+                            .collect(Collectors.toMap(Map.Entry::getKey, entries -> length(entries.getValue())))));
+        }
+        return lengths;
+    }
+
+    /**
+     * Returns the work that competing customers have received through this host lately, for the other hosts.
+     *
+     * @param nowMs the current time, in ms
+     * @return slot time in ms by the hash of the customer; empty unless requests wait in the group and customers compete,
+     *     or if it was told just before
+     */
+    public Map<Integer, Double> customerWork(long nowMs) {
+        boolean anyWait = hasWaiting()
+                || serviceMs.keySet().stream()
+                        .anyMatch(service -> !peersWaiting.apply(service).equals(QueueLength.NONE));
+        return anyWait ? customers.toTell(nowMs) : Map.of();
+    }
+
+    /**
+     * Records the work that customers have received through another host of the group.
+     *
+     * @param host the other host's name
+     * @param workMs slot time in ms by the hash of the customer
+     * @param nowMs the current time, in ms
+     */
+    public void customerWorkElsewhere(String host, Map<Integer, Double> workMs, long nowMs) {
+        customers.startedElsewhere(host, workMs, nowMs);
+    }
+
+    private static QueueLength length(Collection<Entry> queue) {
         int underWay = (int) queue.stream().filter(entry -> entry.underWay).count();
         return new QueueLength(underWay, queue.size() - underWay);
     }
@@ -285,6 +439,7 @@
             if (!request.program().isEmpty() && startedPrograms.put(program, true) == null) {
                 recentStarts.add(new Start(nowMs, program));
             }
+            customers.started(entry.customer, serviceMs(request.service()), nowMs);
             entry.waiter.start(selected);
         });
         return server.isPresent();
@@ -306,14 +461,89 @@
     }
 
     private void startWaiting(String service, TreeSet<Entry> queue, long nowMs) {
+        if (customers.compete(nowMs)) {
+            startFairly(service, queue, nowMs);
+            return;
+        }
         QueueLength peers = peersWaiting.apply(service);
         QueueLength own = length(queue);
         // Permits are this host's own; only the room of engines without a request limit is shared with the peers.
         int permits = selector.requestPermits(servers.byService(service), queue.size(), nowMs);
-        start(queue, true, permits + share(service, own.underWay(), peers.underWay(), nowMs), nowMs);
+        Set<String> reservedServers = new HashSet<>();
+        int underWayStarts = permits + share(service, own.underWay(), peers.underWay(), nowMs);
+        start(queue, selected(queue, true), underWayStarts, reservedServers, nowMs);
         int left = permits - (own.underWay() - length(queue).underWay());
         if (peers.underWay() + length(queue).underWay() == 0) {
-            start(queue, false, left + share(service, own.others(), peers.others(), nowMs), nowMs);
+            int otherStarts = left + share(service, own.others(), peers.others(), nowMs);
+            start(queue, selected(queue, false), otherStarts, reservedServers, nowMs);
+        }
+    }
+
+    private static List<Entry> selected(Collection<Entry> queue, boolean underWay) {
+        return queue.stream().filter(entry -> entry.underWay == underWay).toList();
+    }
+
+    /** Starts requests by precedence; what waits at the hosts of the group before a class leaves it the rest of the room. */
+    private void startFairly(String service, TreeSet<Entry> queue, long nowMs) {
+        updatePrecedences(queue, nowMs);
+        Map<Integer, QueueLength> peers = peersWaitingByPrecedence.apply(service);
+        peers.keySet().forEach(precedence -> rankSeenAtMs.put(precedence / CompetingCustomers.LEVELS, nowMs));
+        int permits = selector.requestPermits(servers.byService(service), queue.size(), nowMs);
+        double room = freeRoom(service, nowMs);
+        Map<Integer, List<Entry>> classes = queue.stream()
+                .collect(Collectors.groupingBy(entry -> entry.precedence, TreeMap::new, Collectors.toList()));
+        Set<String> reservedServers = new HashSet<>();
+        int ownBefore = 0;
+        for (Map.Entry<Integer, List<Entry>> ofPrecedence : classes.entrySet()) {
+            QueueLength alike = peers.getOrDefault(ofPrecedence.getKey(), QueueLength.NONE);
+            int peersBefore = peers.entrySet().stream()
+                    .filter(entry -> entry.getKey() < ofPrecedence.getKey())
+                    .mapToInt(entry ->
+                            entry.getValue().underWay() + entry.getValue().others())
+                    .sum();
+            for (boolean underWay : new boolean[] {true, false}) {
+                List<Entry> selected = selected(ofPrecedence.getValue(), underWay);
+                double before = ownBefore
+                        + peersBefore
+                        + (underWay ? 0 : alike.underWay())
+                        + reserve(service, ofPrecedence.getKey(), nowMs);
+                int peersAlike = underWay ? alike.underWay() : alike.others();
+                int starts = permits + part(room - before, selected.size(), peersAlike);
+                permits -= Math.min(permits, start(queue, selected, starts, reservedServers, nowMs));
+                ownBefore += selected.size();
+            }
+        }
+    }
+
+    private static boolean isAboveShare(int precedence) {
+        return precedence % CompetingCustomers.LEVELS > 0;
+    }
+
+    /** Returns the free room for requests of the mean size of those that wait. */
+    private int freeRoom(String service, long nowMs) {
+        double meanTokens = waiting.getOrDefault(service, NOTHING).stream()
+                .mapToLong(entry -> entry.request.tokens())
+                .average()
+                .orElse(0);
+        return selector.freeRoom(servers.byService(service), (long) meanTokens, nowMs);
+    }
+
+    /** Returns the room that less urgent requests and customers above their share leave free for the next of the others. */
+    private double reserve(String service, int precedence, long nowMs) {
+        int level = precedence % CompetingCustomers.LEVELS;
+        int rank = precedence / CompetingCustomers.LEVELS;
+        boolean moreUrgentArrive =
+                !rankSeenAtMs.headMap(rank).values().stream().allMatch(seenAtMs -> nowMs - seenAtMs > RANK_MEMORY_MS);
+        double share = RESERVED_SHARE_PER_LEVEL * level + (moreUrgentArrive ? RESERVED_SHARE_FOR_RANKS : 0);
+        return share == 0 ? 0 : share * selector.totalRoom(servers.byService(service), nowMs);
+    }
+
+    private void updatePrecedences(TreeSet<Entry> queue, long nowMs) {
+        Map<Long, Integer> aheadByCustomerAndRank = new HashMap<>();
+        for (Entry entry : queue) {
+            long key = ((long) entry.customer << Integer.SIZE) + entry.request.rank();
+            int ownAhead = aheadByCustomerAndRank.merge(key, 1, Integer::sum) - 1;
+            entry.precedence = precedence(entry, ownAhead, nowMs);
         }
     }
 
@@ -325,17 +555,23 @@
         if (ownWaiting == 0) {
             return 0;
         }
-        double room = selector.freeRoom(servers.byService(service), nowMs);
-        double share = room * ownWaiting / (ownWaiting + peersWaitingAlike);
+        return part(freeRoom(service, nowMs), ownWaiting, peersWaitingAlike);
+    }
+
+    private int part(double room, int ownWaiting, int peersWaitingAlike) {
+        if (ownWaiting == 0) {
+            return 0;
+        }
+        double share = Math.max(0, room) * ownWaiting / (ownWaiting + peersWaitingAlike);
         return Math.min(ownWaiting, (int) (share + random.getAsDouble()));
     }
 
-    private void start(TreeSet<Entry> queue, boolean underWay, int count, long nowMs) {
+    /** Starts up to {@code count} of the selected requests in their order; returns how many. */
+    private int start(TreeSet<Entry> queue, List<Entry> selected, int count, Set<String> reservedServers, long nowMs) {
         int left = count;
-        Set<String> reservedServers = new HashSet<>();
-        for (Entry entry : List.copyOf(queue)) {
-            if (left <= 0 || entry.underWay != underWay) {
-                continue;
+        for (Entry entry : selected) {
+            if (left <= 0) {
+                break;
             }
             queue.remove(entry);
             EngineRequest request = entry.request;
@@ -350,6 +586,7 @@
                 refuseWithoutServer(request, entry.waiter);
             }
         }
+        return count - left;
     }
 
     /**
@@ -363,10 +600,17 @@
             return (long)
                     ((ahead + 1 + peers.underWay() + peers.others()) * 1_000 / Math.max(MIN_RATE_PER_S, limitPerS));
         }
-        int running = servers.byService(service).stream()
+        return (long) ((ahead + 1) * serviceMs(service) / Math.max(1, running(service)));
+    }
+
+    private int running(String service) {
+        return servers.byService(service).stream()
                 .mapToInt(TrackedServer::inFlight)
                 .sum();
-        return (long) ((ahead + 1) * serviceMs.getOrDefault(service, DEFAULT_SERVICE_MS) / Math.max(1, running));
+    }
+
+    private double serviceMs(String service) {
+        return serviceMs.getOrDefault(service, DEFAULT_SERVICE_MS);
     }
 
     /** Spreads the returns of clients that are refused at the same time over as long as the wait takes. */
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -154,13 +154,49 @@
      * @return the sum over the engines; {@link Integer#MAX_VALUE} if one of them has no limit
      */
     public int freeRoom(List<TrackedServer> servers, long nowMs) {
+        return freeRoom(servers, 0, nowMs);
+    }
+
+    /**
+     * Returns how many requests of some size the same engines can take in addition to those in flight.
+     *
+     * @param servers the service's servers
+     * @param tokens the memory that each request can hold at its end, in tokens; 0 if not known
+     * @param nowMs the current time, in ms
+     * @return the sum over the engines; {@link Integer#MAX_VALUE} if one of them has no limit
+     */
+    public int freeRoom(List<TrackedServer> servers, long tokens, long nowMs) {
+        return room(
+                servers,
+                server -> Math.min(
+                        slotRoom(server),
+                        server.memoryRoom(
+                                tokens, memoryTokens.applyAsInt(server.entry().service()))),
+                nowMs);
+    }
+
+    /**
+     * Returns how many requests the same engines can take if none is in flight.
+     *
+     * @param servers the service's servers
+     * @param nowMs the current time, in ms
+     * @return the sum over the engines; {@link Integer#MAX_VALUE} if one of them has no limit
+     */
+    public int totalRoom(List<TrackedServer> servers, long nowMs) {
+        return room(
+                servers,
+                server -> slotRoom(server) == Integer.MAX_VALUE ? Integer.MAX_VALUE : slotRoom(server) + server.load(),
+                nowMs);
+    }
+
+    private int room(List<TrackedServer> servers, ToIntFunction<TrackedServer> ofServer, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, Set.of(), nowMs);
         Set<TrackedServer> subset = group.subset(servers, candidates);
         boolean limited = subset.stream().anyMatch(server -> server.limit().isInForce(nowMs));
         long sum = candidates.stream()
                 .filter(server -> group.count() == 1 || limited || subset.contains(server))
                 .filter(server -> !server.limit().isInForce(nowMs))
-                .mapToLong(server -> Math.max(0, slotRoom(server)))
+                .mapToLong(server -> Math.max(0, ofServer.applyAsInt(server)))
                 .sum();
         long ownPart =
                 group.count() > 1 && limited ? (sum * subset.size() + candidates.size() - 1) / candidates.size() : sum;
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -108,24 +108,38 @@
     }
 
     /**
-     * Returns whether the server's memory suffices for one more request beside those in flight. A part of the peers' load
-     * is kept free, since it is an estimate. A host that hears of no peer any more keeps to its part of the memory, so that
-     * all hosts together do not exceed it, but it may always run one request.
+     * Returns whether the server's memory suffices for one more request beside those in flight, as {@link #memoryRoom} does.
      *
      * @param tokens the memory that the request can hold at its end, in tokens; 0 if not known
      * @param memoryTokens the server's memory, in tokens; 0 if not known
      * @return true if it fits, or if either size is not known
      */
     public boolean hasMemory(long tokens, int memoryTokens) {
+        return memoryRoom(tokens, memoryTokens) > 0;
+    }
+
+    /**
+     * Returns for how many more requests the server's memory suffices beside those in flight. A part of the peers' load is
+     * kept free, since it is an estimate. A host that hears of no peer any more keeps to its part of the memory, so that all
+     * hosts together do not exceed it, but it may always run one request.
+     *
+     * @param tokens the memory that each of the requests can hold at its end, in tokens; 0 if not known
+     * @param memoryTokens the server's memory, in tokens; 0 if not known
+     * @return the number of requests; {@link Integer#MAX_VALUE} if either size is not known
+     */
+    public int memoryRoom(long tokens, int memoryTokens) {
         if (tokens <= 0 || memoryTokens <= 0) {
-            return true;
-        }
-        if (ownTokens > 0 && ownTokens + tokens > memoryTokens / (silentPeers + 1)) {
-            return false;
+            return Integer.MAX_VALUE;
         }
         double unsizedTokens = peers.unsizedRequests() * memoryTokens / Math.max(1, entry.slots());
         double peersTokens = peers.tokens() + peers.marginTokens() + unsizedTokens;
-        return ownTokens + Math.max(0, peersTokens) + tokens <= memoryTokens;
+        double freeTokens = memoryTokens - ownTokens - Math.max(0, peersTokens);
+        int room = (int) Math.max(0, freeTokens / tokens);
+        if (silentPeers == 0) {
+            return room;
+        }
+        long ownPartTokens = memoryTokens / (silentPeers + 1) - ownTokens;
+        return (int) Math.min(room, Math.max(ownTokens > 0 ? 0 : 1, ownPartTokens / tokens));
     }
 
     /**
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -11,8 +11,13 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.celerygw.core.gen.peers.Digest;
+import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.peers.DigestTargets;
 import org.celerygw.core.peers.FleetLoadEstimator;
 import org.celerygw.core.peers.HostGroup;
@@ -52,6 +57,10 @@
     int inTime;
     int late;
     int refused;
+    final Map<String, Tally> tallies = new TreeMap<>();
+    private Supplier<Kind> kinds;
+    private Function<Kind, String> tallyName = kind -> "all";
+    private double meanTurns = 0.8 * 3 + 0.2 * 9;
     private double nowMs;
 
     /**
@@ -63,21 +72,40 @@
      */
     record Options(int hosts, int engines, int slots, boolean sendsChanges, boolean queues, double lossRate) {}
 
+    /** What a program is: its turns, the rank and memory of each, and its customer. */
+    record Kind(int turns, int rank, Optional<CustomerId> customer, long tokens) {
+        static Kind ofTurns(int turns) {
+            return new Kind(turns, turns > 4 ? 0 : 1, Optional.empty(), 0);
+        }
+    }
+
+    /** How the programs of one kind have ended, by a name that the test chooses. */
+    static final class Tally {
+        int inTime;
+        int late;
+        int refused;
+        int turns;
+
+        double shareInTime() {
+            return inTime / (double) Math.max(1, inTime + late + refused);
+        }
+    }
+
     private record Event(double atMs, Runnable action) {}
 
     /** A program with its turns left. */
     private final class Program {
         final String id = "program-" + random.nextLong();
         final double deadlineMs;
-        final int rank;
+        final Kind kind;
         final Host host;
         final Deque<Double> turnsMs = new ArrayDeque<>();
         int attempts;
 
-        Program(Host host, int turns) {
+        Program(Host host, Kind kind) {
             this.host = host;
-            this.rank = turns > 4 ? 0 : 1;
-            IntStream.range(0, turns).forEach(i -> turnsMs.add(SERVICE_MS * (0.4 + 1.2 * random.nextDouble())));
+            this.kind = kind;
+            IntStream.range(0, kind.turns()).forEach(i -> turnsMs.add(SERVICE_MS * (0.4 + 1.2 * random.nextDouble())));
             double idleMs = turnsMs.stream().mapToDouble(Double::doubleValue).sum();
             this.deadlineMs = nowMs + TARGET_FACTOR * idleMs + TARGET_LATENCY_MS;
         }
@@ -86,16 +114,23 @@
             if (turnsMs.isEmpty()) {
                 inTime += nowMs <= deadlineMs ? 1 : 0;
                 late += nowMs <= deadlineMs ? 0 : 1;
+                tally().inTime += nowMs <= deadlineMs ? 1 : 0;
+                tally().late += nowMs <= deadlineMs ? 0 : 1;
                 return;
             }
             attempts = 0;
             host.serve(this);
         }
 
+        Tally tally() {
+            return tallies.computeIfAbsent(tallyName.apply(kind), name -> new Tally());
+        }
+
         void retry(long retryAfterMs) {
             attempts++;
             if (attempts >= MAX_ATTEMPTS) {
                 refused++;
+                tally().refused++;
             } else {
                 at(
                         attempts % 2 == 1 ? retryAfterMs : 100 + 300 * random.nextDouble(),
@@ -109,19 +144,26 @@
         final int slots;
         final Deque<Runnable> queue = new ArrayDeque<>();
         int running;
+        long heldTokens;
+        long maxHeldTokens;
 
         Engine(int slots) {
             this.slots = slots;
         }
 
-        void accept(double durationMs, Runnable onEnd) {
+        void accept(double durationMs, long tokens, Runnable onEnd) {
             double arrivedMs = nowMs;
+            heldTokens += tokens;
+            if (heldTokens > maxHeldTokens && nowMs > 5_000) {
+                maxHeldTokens = heldTokens;
+            }
             Runnable run = () -> {
                 running++;
                 engineWaitsMs.add(nowMs - arrivedMs);
                 double slowdown = 1 + SLOWDOWN_PER_REQUEST * running;
                 at(durationMs * slowdown, () -> {
                     running--;
+                    heldTokens -= tokens;
                     onEnd.run();
                     if (!queue.isEmpty()) {
                         queue.poll().run();
@@ -154,7 +196,8 @@
             this.name = name;
             this.zone = zone;
             this.selector = new ServerSelector(zone, server -> {});
-            this.queue = new EngineQueue(servers, selector, this::waitingAtPeers, random::nextDouble);
+            this.queue = new EngineQueue(
+                    servers, selector, this::waitingAtPeers, this::waitingAtPeersByPrecedence, random::nextDouble);
         }
 
         void serve(Program program) {
@@ -178,11 +221,11 @@
                     "",
                     Set.of(),
                     false,
-                    program.rank,
+                    program.kind.rank(),
                     latestStartMs,
                     (long) program.deadlineMs,
-                    Optional.empty(),
-                    0);
+                    program.kind.customer(),
+                    program.kind.tokens());
         }
 
         /** One turn that is offered to the queue. */
@@ -197,13 +240,16 @@
             public void start(TrackedServer server) {
                 double startedMs = nowMs;
                 double durationMs = program.turnsMs.poll();
-                server.requestStarted();
+                long tokens = program.kind.tokens();
+                program.tally().turns++;
+                server.requestStarted(tokens);
                 loadChanged();
                 at(NETWORK_MS, () -> engines.get(server.entry().id())
                         .accept(
                                 durationMs,
+                                tokens,
                                 () -> at(NETWORK_MS, () -> {
-                                    server.requestEnded();
+                                    server.requestEnded(tokens);
                                     queue.recordServiceTime("e", (long) (nowMs - startedMs));
                                     loadChanged();
                                     queue.poll((long) nowMs);
@@ -253,7 +299,9 @@
         void send(List<Host> receivers) {
             Digest digest = Digest.newBuilder()
                     .setHost(name)
-                    .putAllWaiting(WaitingCodec.encode(queue.waitingByService()))
+                    .putAllWaiting(
+                            WaitingCodec.encode(queue.waitingByService(), queue.waitingByPrecedence((long) nowMs)))
+                    .addAllCustomerWork(WaitingCodec.encodeWork(queue.customerWork((long) nowMs)))
                     .addAllStarted(queue.recentlyStarted((long) nowMs))
                     .addAllLoads(FleetLoadEstimator.localLoads(servers, (long) nowMs))
                     .build();
@@ -265,16 +313,26 @@
         void receive(Host sender, Digest digest) {
             queue.startedElsewhere(digest.getStartedList());
             boolean sameGroup = group.peers().contains(sender);
+            if (sameGroup) {
+                queue.customerWorkElsewhere(
+                        sender.name, WaitingCodec.decodeWork(digest.getCustomerWorkList()), (long) nowMs);
+            }
             ReceivedDigest previous = digests.put(sender, new ReceivedDigest(digest, (long) nowMs, sameGroup));
             estimator.applyChange(previous == null ? null : previous.digest(), digest, sameGroup, servers);
         }
 
         QueueLength waitingAtPeers(String service) {
-            return WaitingCodec.sum(
-                    digests.entrySet().stream()
-                            .filter(received -> group.peers().contains(received.getKey()))
-                            .map(received -> received.getValue().digest()),
-                    service);
+            return WaitingCodec.sum(groupDigests(), service);
+        }
+
+        Map<Integer, QueueLength> waitingAtPeersByPrecedence(String service) {
+            return WaitingCodec.sumByPrecedence(groupDigests(), service);
+        }
+
+        Stream<Digest> groupDigests() {
+            return digests.entrySet().stream()
+                    .filter(received -> group.peers().contains(received.getKey()))
+                    .map(received -> received.getValue().digest());
         }
 
         List<Host> others() {
@@ -293,10 +351,31 @@
         hosts.forEach(h -> at(ROUND_MS * random.nextDouble(), h::runRound));
     }
 
+    /** Lets programs of other kinds arrive, whose ends are counted by name, and returns this. */
+    SimulatedHosts withPrograms(Function<Random, Kind> kind, double turnsOnAverage, Function<Kind, String> name) {
+        kinds = () -> kind.apply(random);
+        meanTurns = turnsOnAverage;
+        tallyName = name;
+        return this;
+    }
+
+    /** Gives the engines a memory that hosts know of, and returns this. */
+    SimulatedHosts withMemory(int tokens) {
+        hosts.forEach(host -> host.selector.setMemory(service -> tokens));
+        return this;
+    }
+
+    /** Returns the largest memory that any engine's requests held at a time, in tokens. */
+    long maxHeldTokens() {
+        return engines.values().stream()
+                .mapToLong(engine -> engine.maxHeldTokens)
+                .max()
+                .orElse(0);
+    }
+
     /** Lets programs arrive that need the given share of the engines' slots, and returns this. */
     SimulatedHosts run(double utilization, double durationMs) {
         double turnsPerMs = options.engines() * options.slots() * utilization / SERVICE_MS;
-        double meanTurns = 0.8 * 3 + 0.2 * 9;
         double untilMs = nowMs + durationMs;
         scheduleArrival(meanTurns / turnsPerMs, untilMs);
         while (!events.isEmpty() && events.peek().atMs() < untilMs) {
@@ -311,7 +390,8 @@
         at(-meanGapMs * Math.log(1 - random.nextDouble()), () -> {
             // The exponent makes the first hosts receive several times as many programs as the last ones.
             Host host = hosts.get((int) (hosts.size() * Math.pow(random.nextDouble(), 1.5)));
-            new Program(host, random.nextDouble() < 0.8 ? 3 : 9).nextTurn();
+            Kind kind = kinds == null ? Kind.ofTurns(random.nextDouble() < 0.8 ? 3 : 9) : kinds.get();
+            new Program(host, kind).nextTurn();
             if (nowMs < untilMs) {
                 scheduleArrival(meanGapMs, untilMs);
             }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -168,9 +168,7 @@
                 settings.maxRowBytes(),
                 PROGRAM_CACHE_BYTES);
         metrics.registerPeersAndPrograms(peers, programStore);
-        this.engineQueue =
-                new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
-                        .nextDouble());
+        this.engineQueue = createEngineQueue();
         metrics.registerQueue(engineQueue);
         metrics.registerLinks(links, originPools);
         metrics.registerServerProtection(servers, permits, quarantine, clock);
@@ -384,6 +382,15 @@
         }
     }
 
+    private EngineQueue createEngineQueue() {
+        return new EngineQueue(
+                servers,
+                serverSelector,
+                peers::waitingAtPeers,
+                peers::waitingAtPeersByPrecedence,
+                () -> ThreadLocalRandom.current().nextDouble());
+    }
+
     private void logReturn(TrackedServer server) {
         LOG.atInfo()
                 .addKeyValue("server", server.entry().id())
@@ -408,6 +415,21 @@
             return engineQueue.waitingByService();
         }
 
+        @Override
+        public Map<String, Map<Integer, QueueLength>> waitingByPrecedence() {
+            return engineQueue.waitingByPrecedence(clock.nowMs());
+        }
+
+        @Override
+        public Map<Integer, Double> customerWork() {
+            return engineQueue.customerWork(clock.nowMs());
+        }
+
+        @Override
+        public void onCustomerWork(String peer, Map<Integer, Double> workMs) {
+            engineQueue.customerWorkElsewhere(peer, workMs, clock.nowMs());
+        }
+
         @Override
         public List<Integer> recentlyStarted() {
             return engineQueue.recentlyStarted(clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -54,6 +54,8 @@
 
     @Override
     public void refuse(String reason, long retryAfterMs) {
+        exchange.forwarder.requestLog.logQueueRefusal(
+                exchange, reason, exchange.forwarder.clock.nowMs() - sinceMs, retryAfterMs);
         exchange.onEngineRefused(reason, retryAfterMs);
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -99,6 +99,19 @@
                 .log("servers: request limit named by a server has changed");
     }
 
+    /** Logs why the queue refuses a request. */
+    void logQueueRefusal(Exchange exchange, String reason, long waitedMs, long retryAfterMs) {
+        LOG.atWarn()
+                .addKeyValue("request", exchange.metadata.id())
+                .addKeyValue(
+                        "customer", exchange.customer().map(c -> c.id().value()).orElse(""))
+                .addKeyValue("rank", exchange.rank())
+                .addKeyValue("waitedMs", waitedMs)
+                .addKeyValue("comeBackMs", retryAfterMs)
+                .addKeyValue("reason", reason)
+                .log("queue: a request is refused");
+    }
+
     void logRefusal(@Nullable RequestMetadata metadata, Forwarder.Refusal refusal) {
         requestsEnded.labelValues("refused", Integer.toString(refusal.status())).inc();
         LOG.atWarn()
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -106,6 +106,28 @@
          */
         Map<String, QueueLength> waitingByService();
 
+        /**
+         * Returns the same by precedence, while customers compete.
+         *
+         * @return the numbers by service and precedence; empty unless customers compete
+         */
+        Map<String, Map<Integer, QueueLength>> waitingByPrecedence();
+
+        /**
+         * Returns the work that competing customers have received through this host lately.
+         *
+         * @return slot time in ms by the hash of the customer; often empty, since it is told only now and then
+         */
+        Map<Integer, Double> customerWork();
+
+        /**
+         * Called with the work that customers have received through another host of the group.
+         *
+         * @param peer the other host's name
+         * @param workMs slot time in ms by the hash of the customer
+         */
+        void onCustomerWork(String peer, Map<Integer, Double> workMs);
+
         /**
          * Returns the requests under which servers have crashed, as known to this host.
          *
@@ -237,6 +259,11 @@
         }
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
+        boolean sameGroup =
+                digests.group().anyMatch(peer -> peer.digest.getHost().equals(digest.getHost()));
+        if (sameGroup && digest.getCustomerWorkCount() > 0) {
+            localState.onCustomerWork(digest.getHost(), WaitingCodec.decodeWork(digest.getCustomerWorkList()));
+        }
     }
 
     private Digest.Builder localDigest(boolean withSuspects) {
@@ -246,7 +273,8 @@
                 .setStoreMs(health.smoothedLatencyMs())
                 .setLeaving(localState.leaving())
                 .setCutOff(localState.cutOff())
-                .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
+                .putAllWaiting(WaitingCodec.encode(localState.waitingByService(), localState.waitingByPrecedence()))
+                .addAllCustomerWork(WaitingCodec.encodeWork(localState.customerWork()))
                 .addAllStarted(localState.recentlyStarted())
                 .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
     }
@@ -270,6 +298,16 @@
         return WaitingCodec.sum(digests.group().map(p -> p.digest), service);
     }
 
+    /**
+     * Returns the same by precedence.
+     *
+     * @param service the service's name
+     * @return the number of requests by precedence, as last reported
+     */
+    public Map<Integer, QueueLength> waitingAtPeersByPrecedence(String service) {
+        return WaitingCodec.sumByPrecedence(digests.group().map(p -> p.digest), service);
+    }
+
     /**
      * Returns tables that call the partitions directly, or through a peer when the store does not answer this host in time.
      *
