--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -204,11 +204,6 @@
         serverWatch.start();
     }
 
-    private EngineQueue createEngineQueue() {
-        return new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
-                .nextDouble());
-    }
-
     private CustomerQuotas createQuotas() {
         GatewaySettings.CustomerBounds bounds = settings.customerBounds();
         return new CustomerQuotas(
@@ -412,6 +407,15 @@
         }
     }
 
+    private EngineQueue createEngineQueue() {
+        return new EngineQueue(
+                servers,
+                serverSelector,
+                peers::waitingAtPeers,
+                peers::waitingAtPeersByPrecedence,
+                () -> ThreadLocalRandom.current().nextDouble());
+    }
+
     private void logReturn(TrackedServer server) {
         LOG.atInfo()
                 .addKeyValue("server", server.entry().id())
@@ -436,6 +440,21 @@
             return engineQueue.waitingByService();
         }
 
+        @Override
+        public Map<String, Map<Integer, QueueLength>> waitingByPrecedence() {
+            return engineQueue.waitingByPrecedence(clock.nowMs());
+        }
+
+        @Override
+        public Map<Integer, Double> customerWork() {
+            return engineQueue.customerWork(clock.nowMs());
+        }
+
+        @Override
+        public void onCustomerWork(String peer, Map<Integer, Double> workMs) {
+            engineQueue.customerWorkElsewhere(peer, workMs, clock.nowMs());
+        }
+
         @Override
         public List<Integer> recentlyStarted() {
             return engineQueue.recentlyStarted(clock.nowMs());
