--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -166,6 +166,14 @@
          */
         void onZoneRooms(List<ZoneRoom> rooms);
 
+        /**
+         * Called with the digest of another host.
+         *
+         * @param version the version of the configuration in force there
+         * @param storeAnswers whether the store answers that host
+         */
+        void onPeerConfiguration(long version, boolean storeAnswers);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -224,6 +232,7 @@
                 servers,
                 peers,
                 this::localDigest,
+                this::anyWaiting,
                 this::onGroup,
                 this::onDigest,
                 permits);
@@ -248,7 +257,15 @@
                 .collect(Collectors.toSet()));
     }
 
+    private boolean anyWaiting() {
+        return !localState.waitingByService().isEmpty()
+                || digests.group().anyMatch(p -> p.digest.getWaitingCount() > 0);
+    }
+
     private void onDigest(Digest digest) {
+        if (digest.getConfigVersion() > 0) {
+            localState.onPeerConfiguration(digest.getConfigVersion(), digest.getStoreAnswers());
+        }
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
         localState.onZoneRooms(digest.getZoneRoomList());
