Prefer the servers that have an object in their cache

Cause: on sticky routes a server that has handled an object lately takes half as long, but the key only breaks ties between equally loaded servers, and a popular object would overload one server.

Change: CacheAffinity chooses a server of the key's rendezvous order while its expected wait costs less than its warm cache saves, as learned per route. Hot keys, found by a space-saving counter, have as many servers of the order as their load needs. Routes that are not sticky choose as before.

--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
@@ -24,6 +25,7 @@
     private final EngineSelector engineSelector;
     private final PlainSelector plainSelector;
     private final Spillover spillover;
+    private final CacheAffinity cacheAffinity = new CacheAffinity();
     private final Consumer<TrackedServer> onPermitNeeded;
     private int firstAsked;
     private ToIntFunction<String> memoryTokens = service -> 0;
@@ -281,12 +283,49 @@
     public Optional<TrackedServer> selectServer(
             List<TrackedServer> servers, Set<String> excludedIds, String affinityKey, long nowMs) {
         List<TrackedServer> candidates = candidates(servers, excludedIds, nowMs);
-        Optional<TrackedServer> first = plainSelector.select(Outliers.eject(candidates, nowMs), affinityKey, nowMs);
+        List<TrackedServer> notSlow = Outliers.eject(candidates, nowMs);
+        return allowedOr(
+                plainSelector.select(notSlow, affinityKey, nowMs),
+                () -> plainSelector.select(allowed(candidates, nowMs), affinityKey, nowMs),
+                nowMs);
+    }
+
+    /**
+     * Selects a server of a service that does not run engines, for a request about an object that some server may have in
+     * its cache.
+     *
+     * @param servers the service's servers
+     * @param excludedIds ids of servers that must not be selected
+     * @param route the route's name
+     * @param objectKey the object's key
+     * @param nowMs the current time, in ms
+     * @return the server; empty if none is usable or all need a permit that this host lacks
+     */
+    public Optional<TrackedServer> selectStickyServer(
+            List<TrackedServer> servers, Set<String> excludedIds, String route, String objectKey, long nowMs) {
+        List<TrackedServer> candidates = Outliers.eject(candidates(servers, excludedIds, nowMs), nowMs);
+        Optional<TrackedServer> other = selectServer(servers, excludedIds, objectKey, nowMs);
+        return allowedOr(
+                cacheAffinity.select(allowed(candidates, nowMs), other, route, objectKey, nowMs), () -> other, nowMs);
+    }
+
+    /**
+     * Returns what is known of the caches of servers.
+     *
+     * @return the affinity, to which responses about objects are reported
+     */
+    public CacheAffinity cacheAffinity() {
+        return cacheAffinity;
+    }
+
+    /** Returns the first choice, or else asks for a permit for it and returns another one. */
+    private Optional<TrackedServer> allowedOr(
+            Optional<TrackedServer> first, Supplier<Optional<TrackedServer>> other, long nowMs) {
         if (first.isEmpty() || first.get().limit().allowsRequest(nowMs)) {
             return first;
         }
         onPermitNeeded.accept(first.get());
-        return plainSelector.select(allowed(candidates, nowMs), affinityKey, nowMs);
+        return other.get();
     }
 
     private static List<TrackedServer> allowed(List<TrackedServer> servers, long nowMs) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -12,6 +12,7 @@
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
+import org.celerygw.core.servers.CacheAffinity;
 import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
@@ -338,10 +339,23 @@
     }
 
     private Optional<TrackedServer> selectServer(Service plainService) {
+        if (isAboutObject()) {
+            return forwarder.serverSelector.selectStickyServer(
+                    candidates(plainService),
+                    triedServerIds,
+                    route.name(),
+                    metadata.affinityKey(),
+                    forwarder.clock.nowMs());
+        }
         return forwarder.serverSelector.selectServer(
                 candidates(plainService), triedServerIds, affinityKey(), forwarder.clock.nowMs());
     }
 
+    /** Returns whether some servers may have the object of the request in their cache. */
+    private boolean isAboutObject() {
+        return route.sticky() && !metadata.affinityKey().isEmpty();
+    }
+
     private List<TrackedServer> candidates(Service plainService) {
         return forwarder.servers.byService(plainService.name(), turn.requiredVersion());
     }
@@ -608,10 +622,20 @@
                         new SpeedLearner.EngineTimes(metadata.promptTokens(), events, firstBodyMs, wholeMs),
                         nowMs);
             } else {
-                forwarder.speedLearner.recordResponse(server, route.name(), loadAtStart, wholeMs, nowMs);
+                String work = isAboutObject() ? route.name() + recordWarmth(service, wholeMs, nowMs) : route.name();
+                forwarder.speedLearner.recordResponse(server, work, loadAtStart, wholeMs, nowMs);
             }
         }
 
+        /** Requests with and without a warm cache are different work. */
+        private CacheAffinity.Warmth recordWarmth(Service plainService, long wholeMs, long nowMs) {
+            return forwarder
+                    .serverSelector
+                    .cacheAffinity()
+                    .recordResponse(
+                            server, candidates(plainService), route.name(), metadata.affinityKey(), wholeMs, nowMs);
+        }
+
         private void onShed() {
             if (status == MISDIRECTED_REQUEST) {
                 server.recordFailure(forwarder.clock.nowMs());
