Read responses only as fast as their clients take them

Cause: what a slow client did not take was buffered in the host up to a quota over all responses, whose exhaustion failed other responses and counted as failures of the servers. The system's socket buffers held several MB more per connection.

Time without reading is no silence, and a response that a server breaks off unread, or that ends since the quota is full, is no failure of the server. The same holds for requests that are relayed for peers; a peer that reads nothing for 5 s is broken off. Socket buffers to clients and from servers have 64 KB; buffers of a response and of the event splitter do not keep their largest size; bodies of pipelined requests are bounded per connection.

--- a/core/src/main/java/org/celerygw/core/events/EventSplitter.java
+++ b/core/src/main/java/org/celerygw/core/events/EventSplitter.java
@@ -10,7 +10,7 @@
  */
 public final class EventSplitter {
     private static final int INITIAL_BYTES = 256;
-    private static final int MAX_IDLE_BYTES = 65_536;
+    private static final int MAX_IDLE_BYTES = 4_096;
 
     private final BlockParser parser = new BlockParser();
     private byte[] buffer = new byte[INITIAL_BYTES];
@@ -95,8 +95,8 @@
         }
         length -= start;
         lineStart -= start;
-        if (length == 0 && buffer.length > MAX_IDLE_BYTES) {
-            buffer = new byte[INITIAL_BYTES];
+        if (length <= MAX_IDLE_BYTES / 4 && buffer.length > MAX_IDLE_BYTES) {
+            buffer = Arrays.copyOfRange(buffer, start, start + Math.max(INITIAL_BYTES, length));
         } else {
             System.arraycopy(buffer, start, buffer, 0, length);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -188,7 +188,8 @@
                 quarantine,
                 new RequestLog(registry),
                 peers::loadChanged,
-                peers::suspectsChanged);
+                peers::suspectsChanged,
+                (long) settings.memoryMb() << 20);
         this.cleaner =
                 new ExpiredProgramCleaner(partitions, clock, settings.host().hashCode());
         configurationWatch.start();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -47,6 +47,7 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final Optional<Customer> customer;
+    final ReadPacer pacer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
     private final long timeoutMs;
@@ -87,6 +88,7 @@
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
         this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
+        this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
     }
@@ -245,15 +247,21 @@
                 Math.max(1, remainingMs()),
                 maxConnectionIdleMs(),
                 new BackendResponseHandler(server));
+        pacer.begin(pendingRequest);
         earlierRequests = pendingRequest.earlierRequests();
         if (route.repeatable()) {
             watchForSilence(pendingRequest, server);
         }
     }
 
+    /** Returns for how long the server has sent nothing although it was read, in ms. */
+    private long silentMs() {
+        return pacer.isPaused() ? 0 : forwarder.clock.nowMs() - Math.max(lastReceivedMs, pacer.readingSinceMs());
+    }
+
     /** Cancels the send when its server is silent for too long, provided that another attempt is allowed. */
     private void watchForSilence(OriginPool.@Nullable PendingRequest watched, TrackedServer server) {
-        long silentMs = forwarder.clock.nowMs() - lastReceivedMs;
+        long silentMs = silentMs();
         long maxSilenceMs = SilenceTimeouts.maxSilenceMs(route, responseWriter.streaming());
         if (ended || pendingRequest == null || pendingRequest != watched || possibleExecutions >= route.maxAttempts()) {
             return;
@@ -299,7 +307,9 @@
     void complete(int status) {
         if (!ended) {
             markEnded();
-            forwarder.responseTimes.record(route.name(), serverMs);
+            if (!pacer.heldUpServer()) {
+                forwarder.responseTimes.record(route.name(), serverMs);
+            }
             forwarder.requestLog.logEnd(this, status, "answered");
         }
     }
@@ -389,9 +399,7 @@
             cancelPendingRequest();
             return;
         }
-        if (pendingRequest != null
-                && currentServer != null
-                && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
+        if (pendingRequest != null && currentServer != null && silentMs() > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.closeIdle(currentServer);
         }
         endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
@@ -506,7 +514,11 @@
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
             if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
-                giveUp("malformed");
+                if (responseWriter.outOfMemory()) {
+                    endUnread("no memory", "too much of all responses is held for their clients");
+                } else {
+                    giveUp("malformed");
+                }
             }
         }
 
@@ -525,6 +537,10 @@
 
         @Override
         public void onFailure(boolean sent) {
+            if (sent && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
                 if (!forwarder.links.prefersPeers(server)) {
@@ -562,7 +578,20 @@
             onResponseLost(server, outcome);
         }
 
+        /** Ends the exchange for a reason that says nothing of the server; it is not sent to another one. */
+        private void endUnread(String outcome, String reason) {
+            if (pendingRequest != null) {
+                pendingRequest.cancel();
+            }
+            endSend(server, outcome);
+            fail(502, reason);
+        }
+
         private void onPassed() {
+            if (!responseWriter.isComplete() && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             if (!responseWriter.isComplete()) {
                 server.recordFailure(forwarder.clock.nowMs());
                 onResponseLost(server, "cut");
@@ -575,7 +604,7 @@
             }
             crashGuard.onAnswered();
             endSend(server, "whole");
-            if (service != null && service.runsEngines() && status < SERVER_ERROR) {
+            if (service != null && service.runsEngines() && status < SERVER_ERROR && !pacer.heldUpServer()) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
             }
             if (!ended) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.limits.ByteQuota;
+import org.celerygw.core.limits.UnsentBytes;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ResponseTimeAverages;
 import org.celerygw.core.routes.Route;
@@ -37,7 +38,10 @@
     private static final int UNAUTHORIZED = 401;
     private static final long NO_CONFIG_RETRY_AFTER_MS = 300;
     private static final long QUEUE_POLL_INTERVAL_MS = 10;
-    private static final long MAX_RESPONSE_BYTES_IN_FLIGHT = 24L << 20;
+    /** The part of the host's memory for responses that are held, in 64ths: 24 MiB of 256. */
+    private static final int HELD_RESPONSES_64THS = 6;
+    /** The part for what slow clients have not taken. */
+    private static final int UNSENT_64THS = 3;
 
     final Clock clock;
     final Scheduler scheduler;
@@ -50,7 +54,8 @@
     final RequestLog requestLog;
     final EngineQueue engineQueue;
     final Quarantine quarantine;
-    final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
+    final ByteQuota responseBytes;
+    final UnsentBytes unsentBytes;
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     private final Supplier<@Nullable RouteTable> currentRoutes;
     private final Authenticator authenticator;
@@ -78,6 +83,7 @@
      * @param requestLog logs and counts sends and ends of requests
      * @param onLoadChanged called when a request to an engine has started or ended
      * @param onSuspectsChanged called when a server has crashed under a request
+     * @param memoryBytes how much memory the host may use, of which a part is for responses
      */
     public Forwarder(
             Clock clock,
@@ -94,7 +100,8 @@
             Quarantine quarantine,
             RequestLog requestLog,
             Runnable onLoadChanged,
-            Runnable onSuspectsChanged) {
+            Runnable onSuspectsChanged,
+            long memoryBytes) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.dialect = dialect;
@@ -110,6 +117,8 @@
         this.requestLog = requestLog;
         this.onLoadChanged = onLoadChanged;
         this.onSuspectsChanged = onSuspectsChanged;
+        this.responseBytes = new ByteQuota(memoryBytes / 64 * HELD_RESPONSES_64THS);
+        this.unsentBytes = new UnsentBytes(memoryBytes / 64 * UNSENT_64THS);
     }
 
     @Override
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -24,7 +24,7 @@
     private final ProgramTurn turn;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private final ByteArrayOutputStream eventData = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream pendingBlocks = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pendingBlocks = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
     private @Nullable HttpHeaders headers;
     private int status;
@@ -35,6 +35,11 @@
     private int deliveredEvents;
     private int commentBytes;
     private long heldBytes;
+    private long receivedBytes;
+    /** What of the held bytes belongs to blocks that were received whole. */
+    private long blockBytes;
+
+    private boolean outOfMemory;
 
     ResponseWriter(Exchange exchange, ProgramTurn turn) {
         this.exchange = exchange;
@@ -93,6 +98,9 @@
             return true;
         }
         List<ServerSentEvent> blocks = splitter.add(bytes);
+        blockBytes += blocks.stream()
+                .mapToLong(b -> BLOCK_OVERHEAD_BYTES + b.bytes().length)
+                .sum();
         boolean valid = hold((long) BLOCK_OVERHEAD_BYTES * blocks.size())
                 && blocks.stream().allMatch(this::addBlock);
         flush();
@@ -101,11 +109,20 @@
 
     /** Counts bytes as held until the response is released; returns false if they are too many. */
     private boolean hold(long bytes) {
-        if (heldBytes + bytes > MAX_RESPONSE_BYTES || !exchange.forwarder.responseBytes.tryAcquire(bytes)) {
+        receivedBytes += bytes;
+        if (receivedBytes > MAX_RESPONSE_BYTES) {
             return false;
         }
-        heldBytes += bytes;
-        return true;
+        outOfMemory = !exchange.forwarder.responseBytes.tryAcquire(bytes);
+        if (!outOfMemory) {
+            heldBytes += bytes;
+        }
+        return !outOfMemory;
+    }
+
+    /** Returns whether the response was given up since this host holds too much of all responses. */
+    boolean outOfMemory() {
+        return outOfMemory;
     }
 
     private boolean addBlock(ServerSentEvent block) {
@@ -151,6 +168,7 @@
         splitter = new EventSplitter();
         bufferedBody.reset();
         release();
+        receivedBytes = 0;
         if (!exchange.clientResponse.started()) {
             streaming = false;
             headers = null;
@@ -165,6 +183,17 @@
     private void release() {
         exchange.forwarder.responseBytes.release(heldBytes);
         heldBytes = 0;
+        blockBytes = 0;
+    }
+
+    /** Gives back what was passed to the client, whose connection accounts for it; a turn to store is held to its end. */
+    private void releaseBlocks() {
+        if (!turn.storesTurn()) {
+            long bytes = Math.min(heldBytes, blockBytes);
+            exchange.forwarder.responseBytes.release(bytes);
+            heldBytes -= bytes;
+            blockBytes = 0;
+        }
     }
 
     /** Gives back the quota when the exchange has ended and the client, which may read slowly, has taken what was sent. */
@@ -204,9 +233,12 @@
         if (exchange.firstByteMs() == 0) {
             exchange.recordFirstByte();
         }
-        exchange.clientResponse.sendBody(pendingBlocks.toByteArray());
-        pendingBlocks.reset();
+        byte[] blocks = pendingBlocks.toByteArray();
+        // Not reset, which would keep a buffer of the largest part until the response ends.
+        pendingBlocks = new ByteArrayOutputStream();
         deliveredEvents = receivedEvents;
+        releaseBlocks();
+        exchange.pacer.sendBody(blocks);
     }
 
     /** Sends the head of a stream to the client, unless it was sent before. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -91,6 +91,10 @@
         return relayedRequests;
     }
 
+    Clock clock() {
+        return clock;
+    }
+
     /** Returns whether a response that was lost says nothing about its server: it may have been lost on the way. */
     boolean prefersPeers(TrackedServer server) {
         return reachability.prefersPeers(server, clock.nowMs());
@@ -278,6 +282,11 @@
             Optional.ofNullable(pending).ifPresent(OriginPool.PendingRequest::cancel);
         }
 
+        @Override
+        public void setReading(boolean reading) {
+            Optional.ofNullable(pending).ifPresent(p -> p.setReading(reading));
+        }
+
         @Override
         public int earlierRequests() {
             return pending == null ? 0 : pending.earlierRequests();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerRelay.java
@@ -2,9 +2,10 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import org.celerygw.core.limits.ByteQuota;
+import org.celerygw.core.limits.UnsentBytes;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.TrackedServer;
+import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -25,11 +26,14 @@
     private static final long MAX_TIMEOUT_MS = 600_000;
     /** What all peers together may leave unread. */
     private static final long MAX_UNREAD_BYTES = 16L << 20;
+    /** A peer reads as fast as its client; after a longer pause it is taken for dead. */
+    private static final long MAX_PAUSE_MS = 5_000;
 
     private final ServerLinks links;
     private final ServerList servers;
     private final Scheduler scheduler;
-    private final ByteQuota unreadBytes = new ByteQuota(MAX_UNREAD_BYTES);
+    private final Clock clock;
+    private final UnsentBytes unreadBytes = new UnsentBytes(MAX_UNREAD_BYTES);
     private int inFlight;
     private boolean stopping;
 
@@ -44,6 +48,7 @@
         this.links = links;
         this.servers = servers;
         this.scheduler = scheduler;
+        this.clock = links.clock();
     }
 
     /**
@@ -97,10 +102,13 @@
     private final class Relayed implements ResponseHandler {
         private final ClientResponse response;
         private OriginPool.@Nullable PendingRequest pending;
+        private final ReadPacer pacer;
         private boolean ended;
+        private boolean pauseWatched;
 
         Relayed(ClientResponse response) {
             this.response = response;
+            this.pacer = new ReadPacer(clock, unreadBytes, response);
         }
 
         void start(ClientRequest request, TrackedServer server) {
@@ -114,6 +122,7 @@
                     request.body());
             pending = links.sendDirect(
                     server, passedOn, request.headers().get(RelayHeaders.REQUEST, ""), MAX_IDLE_MS, this);
+            pacer.begin(pending);
         }
 
         private void breakOff() {
@@ -144,14 +153,25 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            if (unreadBytes.tryAcquire(bytes.length)) {
-                response.sendBody(bytes);
-                response.whenSent(() -> unreadBytes.release(bytes.length));
-            } else {
-                breakOff();
+            pacer.sendBody(bytes);
+            if (pacer.isPaused() && !pauseWatched) {
+                watchPause();
             }
         }
 
+        private void watchPause() {
+            pauseWatched = true;
+            long readingSinceMs = pacer.readingSinceMs();
+            scheduler.schedule(MAX_PAUSE_MS, () -> {
+                pauseWatched = false;
+                if (pacer.isPaused() && pacer.readingSinceMs() == readingSinceMs) {
+                    breakOff();
+                } else if (pacer.isPaused()) {
+                    watchPause();
+                }
+            });
+        }
+
         @Override
         public void onComplete() {
             end();
--- a/gateway/src/main/java/org/celerygw/gateway/net/BoundedReads.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/BoundedReads.java
@@ -10,6 +10,12 @@
     private static final int MAX_BUFFER_BYTES = 16_384;
     private static final int MAX_READS = 4;
 
+    /**
+     * The size of a socket's buffer towards a client, and of one from an origin. By default the system lets each of them grow
+     * to several MB, so that it would hold most of what slow clients do not take.
+     */
+    static final int SOCKET_BUFFER_BYTES = 65_536;
+
     private BoundedReads() {}
 
     static RecvByteBufAllocator allocator() {
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -31,6 +31,8 @@
  */
 final class ClientChannel extends ChannelInboundHandlerAdapter {
     private static final int MAX_PIPELINED_OBJECTS = 64;
+    /** What a client may send of later requests, which no quota counts before they are processed. */
+    private static final int MAX_PIPELINED_BYTES = 16_384;
     /** Small bodies do not count against the quota, so that large ones do not displace them. */
     private static final int UNCOUNTED_BODY_BYTES = 16_384;
 
@@ -43,6 +45,7 @@
     private @Nullable HttpRequest requestHead;
     private @Nullable ClientResponse response;
     private long countedBodyBytes;
+    private long pipelinedBytes;
     private long headReceivedAtMs;
     private long idleSinceMs;
     private boolean closeAfterResponse;
@@ -85,7 +88,8 @@
             ReferenceCountUtil.release(message);
         } else if (response != null) {
             pipelined.add(part);
-            if (pipelined.size() > MAX_PIPELINED_OBJECTS) {
+            pipelinedBytes += bodyBytes(part);
+            if (pipelined.size() > MAX_PIPELINED_OBJECTS || pipelinedBytes > MAX_PIPELINED_BYTES) {
                 context.channel().config().setAutoRead(false);
             }
         } else {
@@ -129,6 +133,16 @@
         ChannelActions.write(ctx, message);
     }
 
+    /** Writes a message and runs a task once it is written or dropped. */
+    void write(Object message, Runnable onWritten) {
+        if (ctx == null) {
+            ReferenceCountUtil.release(message);
+            onWritten.run();
+        } else {
+            ctx.writeAndFlush(message).addListener(done -> onWritten.run());
+        }
+    }
+
     void whenSent(Runnable task) {
         if (ctx == null) {
             task.run();
@@ -161,11 +175,17 @@
         }
         processingPipelined = true;
         while (response == null && !pipelined.isEmpty()) {
-            process(pipelined.poll());
+            HttpObject part = pipelined.remove();
+            pipelinedBytes -= bodyBytes(part);
+            process(part);
         }
         processingPipelined = false;
     }
 
+    private static int bodyBytes(HttpObject part) {
+        return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     private void process(HttpObject part) {
         try {
             if (part.decoderResult().isFailure()) {
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientResponse.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientResponse.java
@@ -104,8 +104,20 @@
      * @param bytes the part; nothing is sent when it is empty
      */
     public void sendBody(byte[] bytes) {
+        sendBody(bytes, () -> {});
+    }
+
+    /**
+     * Sends the next part of the body of a streamed response.
+     *
+     * @param bytes the part; nothing is sent when it is empty
+     * @param onSent runs once the client's connection has taken the part, or is closed; possibly during this call
+     */
+    public void sendBody(byte[] bytes, Runnable onSent) {
         if (!finished && bytes.length > 0) {
-            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), onSent);
+        } else {
+            onSent.run();
         }
     }
 
--- a/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
@@ -60,6 +60,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, BoundedReads.SOCKET_BUFFER_BYTES)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, BoundedReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -39,7 +39,8 @@
     /** What a part of a body costs beside its bytes, so that a response has a bounded number of them. */
     private static final int PART_OVERHEAD_BYTES = 64;
 
-    private static final int MAX_COLLECTED_BYTES = 65_536;
+    /** As much as one read, so that a response can be paused after each of them. */
+    private static final int MAX_COLLECTED_BYTES = 16_384;
 
     private final OriginPool pool;
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
@@ -47,7 +48,7 @@
     private @Nullable Exchange pending;
     private @Nullable ChannelFuture writeFuture;
     /** Body parts of the present read, which are passed on together: they may be as short as one byte. */
-    private final ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
+    private ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
 
     private @Nullable SplicedBodyDetector splicedBody;
     private boolean skippingResponse;
@@ -96,6 +97,13 @@
             }
         }
 
+        @Override
+        public void setReading(boolean reading) {
+            if (!finished) {
+                channel.setReading(reading);
+            }
+        }
+
         @Override
         public int earlierRequests() {
             return earlierRequests;
@@ -146,6 +154,12 @@
         ChannelActions.close(ctx);
     }
 
+    private void setReading(boolean reading) {
+        if (ctx != null) {
+            ctx.channel().config().setAutoRead(reading);
+        }
+    }
+
     void onConnectFailure() {
         closed = true;
         fail();
@@ -231,6 +245,8 @@
         passOnBody();
         if (responseComplete && pending == null) {
             responseComplete = false;
+            // An idle connection is read, so that its end is noticed.
+            setReading(true);
             boolean beyondResponse = decoder.holdsPartOfMessage();
             if (beyondResponse) {
                 reportUnassigned("beginning of a response after a response");
@@ -367,7 +383,8 @@
             return;
         }
         byte[] bytes = collectedBody.toByteArray();
-        collectedBody.reset();
+        // Not reset, which would keep a buffer of the largest part for as long as the connection is open.
+        collectedBody = new ByteArrayOutputStream();
         if (splicedBody != null) {
             splicedBody.add(bytes);
         }
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginPool.java
@@ -47,6 +47,14 @@
         /** Cancels the request and closes its connection; the response handler is not called any more. */
         void cancel();
 
+        /**
+         * Sets whether the response is read. While it is not, the origin can send no more than the buffers of the connection
+         * hold, and its end or failure is not noticed.
+         *
+         * @param reading false to pause; a response is read from the start
+         */
+        void setReading(boolean reading);
+
         /**
          * Returns how many requests its connection had carried before.
          *
@@ -88,6 +96,7 @@
                 .channel(NioSocketChannel.class)
                 .remoteAddress(ip, port)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_RCVBUF, BoundedReads.SOCKET_BUFFER_BYTES)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, BoundedReads.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
     }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -50,9 +50,10 @@
     static final int ENGINE_ROOM = ENGINE_SLOTS + 1;
 
     private MultiThreadIoEventLoopGroup group;
-    private EventLoop loop;
+    EventLoop loop;
     HttpListener listener;
-    private ServerList servers;
+    Forwarder forwarder;
+    ServerList servers;
     private List<Table> partitions;
     Faults storeFaults;
     final MonotonicClock clock = new MonotonicClock();
@@ -91,7 +92,7 @@
         routes = routeTable(CustomerDirectory.EMPTY);
         freshness = new ConfigFreshness(5_000, false);
         ServerSelector serverSelector = new ServerSelector("z", server -> {});
-        Forwarder forwarder = new Forwarder(
+        forwarder = new Forwarder(
                 clock,
                 scheduler,
                 new TestDialect(),
@@ -106,7 +107,8 @@
                 new Quarantine("host"),
                 new RequestLog(new PrometheusRegistry()),
                 () -> {},
-                () -> {});
+                () -> {},
+                256L << 20);
         CountDownLatch listening = new CountDownLatch(1);
         HttpListener.start(loop, clock, "127.0.0.1", 0, forwarder).onSuccess(l -> {
             listener = l;
@@ -150,7 +152,7 @@
                 customers);
     }
 
-    private static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
+    static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
         return new Route(
                 prefix,
                 "h",
