--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -197,7 +197,8 @@
                 quotas,
                 new RequestLog(registry),
                 peers::loadChanged,
-                peers::suspectsChanged);
+                peers::suspectsChanged,
+                (long) settings.memoryMb() << 20);
         this.cleaner =
                 new ExpiredProgramCleaner(partitions, clock, settings.host().hashCode());
         configurationWatch.start();
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -12,6 +12,7 @@
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.limits.ByteQuota;
 import org.celerygw.core.limits.CustomerQuotas;
+import org.celerygw.core.limits.UnsentBytes;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ResponseTimeAverages;
 import org.celerygw.core.routes.Route;
@@ -39,7 +40,10 @@
     private static final int UNAUTHORIZED = 401;
     private static final long NO_CONFIG_RETRY_AFTER_MS = 300;
     private static final long QUEUE_POLL_INTERVAL_MS = 10;
-    private static final long MAX_RESPONSE_BYTES_IN_FLIGHT = 24L << 20;
+    /** The part of the host's memory for responses that are held, in 64ths: 24 MiB of 256. */
+    private static final int HELD_RESPONSES_64THS = 6;
+    /** The part for what slow clients have not taken. */
+    private static final int UNSENT_64THS = 3;
 
     final Clock clock;
     final Scheduler scheduler;
@@ -53,7 +57,8 @@
     final EngineQueue engineQueue;
     final Quarantine quarantine;
     final CustomerQuotas quotas;
-    final ByteQuota responseBytes = new ByteQuota(MAX_RESPONSE_BYTES_IN_FLIGHT);
+    final ByteQuota responseBytes;
+    final UnsentBytes unsentBytes;
     final ResponseTimeAverages responseTimes = new ResponseTimeAverages();
     final SpeedLearner speedLearner = new SpeedLearner();
     private final Supplier<@Nullable RouteTable> currentRoutes;
@@ -83,6 +88,7 @@
      * @param requestLog logs and counts sends and ends of requests
      * @param onLoadChanged called when a request to an engine has started or ended
      * @param onSuspectsChanged called when a server has crashed under a request
+     * @param memoryBytes how much memory the host may use, of which a part is for responses
      */
     public Forwarder(
             Clock clock,
@@ -100,7 +106,8 @@
             CustomerQuotas quotas,
             RequestLog requestLog,
             Runnable onLoadChanged,
-            Runnable onSuspectsChanged) {
+            Runnable onSuspectsChanged,
+            long memoryBytes) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.dialect = dialect;
@@ -117,6 +124,8 @@
         this.requestLog = requestLog;
         this.onLoadChanged = onLoadChanged;
         this.onSuspectsChanged = onSuspectsChanged;
+        this.responseBytes = new ByteQuota(memoryBytes / 64 * HELD_RESPONSES_64THS);
+        this.unsentBytes = new UnsentBytes(memoryBytes / 64 * UNSENT_64THS);
     }
 
     @Override
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -55,9 +55,10 @@
     static final int ENGINE_ROOM = ENGINE_SLOTS + 1;
 
     private MultiThreadIoEventLoopGroup group;
-    private EventLoop loop;
+    EventLoop loop;
     HttpListener listener;
-    private ServerList servers;
+    Forwarder forwarder;
+    ServerList servers;
     private List<Table> partitions;
     Faults storeFaults;
     final MonotonicClock clock = new MonotonicClock();
@@ -96,7 +97,7 @@
         routes = routeTable(CustomerDirectory.EMPTY);
         freshness = new ConfigFreshness(5_000, false);
         ServerSelector serverSelector = new ServerSelector("z", server -> {});
-        Forwarder forwarder = new Forwarder(
+        forwarder = new Forwarder(
                 clock,
                 scheduler,
                 new TestDialect(),
@@ -112,7 +113,8 @@
                 new CustomerQuotas("host", clock, scheduler, new QuotaBounds(5_000, 0.1, 0), new OnlyHost()),
                 new RequestLog(new PrometheusRegistry()),
                 () -> {},
-                () -> {});
+                () -> {},
+                256L << 20);
         CountDownLatch listening = new CountDownLatch(1);
         HttpListener.start(loop, clock, "127.0.0.1", 0, forwarder).onSuccess(l -> {
             listener = l;
@@ -156,7 +158,7 @@
                 customers);
     }
 
-    private static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
+    static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
         return new Route(
                 prefix,
                 "h",
