Test strict revocation and public routes of the authentication

Cause: both were covered by parts only (ConfigFreshness, the dialect).

Change: two tests of Authenticator.

--- a/gateway/src/test/java/org/celerygw/gateway/forward/AuthenticationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/AuthenticationTest.java
@@ -9,14 +9,19 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.celerygw.core.id.CustomerId;
+import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.CustomerDirectory;
 import org.celerygw.core.routes.RateLimit;
+import org.celerygw.core.routes.Route;
+import org.celerygw.core.routes.RouteKind;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -75,6 +80,48 @@
         assertFalse(received.stream().anyMatch(r -> "b".equals(r.header("id"))));
     }
 
+    /** Guards against removed keys that a host without store and peers accepts although revocation is strict. */
+    @Test
+    public void unconfirmedHostRefusesKnownKeysIfRevocationIsStrict() {
+        configure("k1");
+        ConfigFreshness strict = new ConfigFreshness(5_000, true);
+        AtomicInteger asked = new AtomicInteger();
+        Authenticator authenticator = new Authenticator(strict, asked::incrementAndGet);
+        Route closed = routes.find("h", "/safe/").orElseThrow();
+        Credentials known = new Credentials(Optional.of("k1"));
+        strict.recordStoreAnswer(10_000);
+        Authenticator.Decision confirmed = authenticator.authenticate(known, closed, routes, 14_999);
+        assertEquals(confirmed.customer().orElseThrow().id().value(), "t1");
+        Authenticator.Decision late = authenticator.authenticate(known, closed, routes, 15_000);
+        assertEquals(late.refusal().orElseThrow().status(), 503);
+        assertEquals(asked.get(), 1);
+        assertEquals(
+                authenticator
+                        .authenticate(Credentials.NONE, closed, routes, 15_000)
+                        .refusal()
+                        .orElseThrow()
+                        .status(),
+                401);
+    }
+
+    /** Guards against a key that a public route passes on as a customer's, and against refusals there. */
+    @Test
+    public void publicRouteServesWithoutKeyAndKnowsTheCustomerByIt() {
+        configure("k1");
+        Authenticator authenticator = new Authenticator(new ConfigFreshness(5_000, false), () -> {});
+        Route open = new Route("o", "h", "/o/", RouteKind.SAFE, List.of(), 1, 1, 0, 1, false, false, false, 0, true);
+        for (String key : List.of("unknown", "k1")) {
+            Authenticator.Decision decision =
+                    authenticator.authenticate(new Credentials(Optional.of(key)), open, routes, 0);
+            assertTrue(decision.refusal().isEmpty());
+            assertEquals(decision.customer().isPresent(), key.equals("k1"));
+        }
+        assertTrue(authenticator
+                .authenticate(Credentials.NONE, open, routes, 0)
+                .refusal()
+                .isEmpty());
+    }
+
     /** Guards against a customer that reads the turns of another one, or spends the budget of a program of the same id. */
     @Test
     public void customersShareNeitherTurnsNorBudgets() throws Exception {
