--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -50,6 +50,10 @@
     private static final long ACTIVE_MS = 5_000;
     /** A host that ran nothing for this long may have been replaced as the account's host. */
     private static final long PAUSE_MS = 600;
+    /** After such a pause, messages arrive that their senders have sent to another host meanwhile. */
+    private static final long DRAIN_MS = 50;
+    /** When a request may come back that was refused while another host takes over an account. */
+    private static final long TAKEOVER_MS = 300;
     /** The time until the account's host has noticed that others do not reach it. */
     private static final long ISOLATION_MS = 3_000;
     /** Until this long after a host was lost or started, another one may have kept an account. */
@@ -71,6 +75,9 @@
     private final Map<String, CustomerLease> leases = new LruMap<>();
     private final Map<String, QuotaAccount> accounts = new LruMap<>();
     private final Map<String, Optional<String>> keepers = new LruMap<>();
+    /** Answers to messages that may arrive again. */
+    private final Map<Long, QuotaReply> answered = new LruMap<>();
+
     private final Map<Long, Sent> sent = new HashMap<>();
     private long nextRequestId;
     private long enteredMs;
@@ -81,6 +88,7 @@
     private int nextPing;
     private int nextSilent;
     private long lossMs;
+    private long resumedMs = Long.MIN_VALUE / 2;
     private boolean ticking;
     private long lostReplies;
 
@@ -155,7 +163,7 @@
     private record Sent(String host, long sentMs, ReplyHandler handler) {}
 
     /** A map that forgets the entry that was not used for longest. */
-    private static final class LruMap<V> extends LinkedHashMap<String, V> {
+    private static final class LruMap<K, V> extends LinkedHashMap<K, V> {
         private static final long serialVersionUID = 1;
 
         LruMap() {
@@ -163,7 +171,7 @@
         }
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
             return size() > MAX_CUSTOMERS;
         }
     }
@@ -185,8 +193,8 @@
         this.network = network;
         this.order = new KeeperOrder(host, network::hosts, clock.nowMs());
         this.enteredMs = clock.nowMs();
-        // Replies to an earlier process of this host must not match.
-        this.nextRequestId = clock.nowMs() << 20;
+        // Differs from that of other hosts and of an earlier process of this host.
+        this.nextRequestId = KeeperOrder.weight(Long.toString(clock.nowMs()), host);
     }
 
     /**
@@ -253,10 +261,16 @@
         long nowMs = enter();
         String customer = request.getCustomer();
         QuotaReply elsewhere = QuotaReply.newBuilder().setId(request.getId()).build();
-        Optional<String> keeper = customer.isEmpty() || !isValid(request) ? Optional.empty() : firstKeeper(customer);
+        QuotaReply before = answered.get(request.getId());
+        if (before != null) {
+            callback.accept(before);
+            return;
+        }
+        boolean stale = customer.isEmpty() || !isValid(request) || nowMs < resumedMs + DRAIN_MS;
+        Optional<String> keeper = stale ? Optional.empty() : firstKeeper(customer);
         if (keeper.equals(Optional.of(host))) {
             QuotaAccount account = account(customer, limitOf(request), request.getConfigVersion(), nowMs);
-            callback.accept(serve(
+            QuotaReply reply = serve(
                             customer,
                             account,
                             request.getUsedTokens(),
@@ -264,7 +278,9 @@
                             request.getWantedTokens(),
                             nowMs)
                     .setId(request.getId())
-                    .build());
+                    .build();
+            answered.put(request.getId(), reply);
+            callback.accept(reply);
         } else if (keeper.isPresent() && !request.getForwarded()) {
             accounts.remove(customer);
             forward(keeper.get(), request, callback, elsewhere);
@@ -472,9 +488,10 @@
         if (!lease.sharing) {
             lease.beginShare(phase(customer), nowMs + ISOLATION_MS);
         }
+        long retryMs = firstKeeper(customer).isPresent() ? TAKEOVER_MS : bounds.windowMs();
         return lease.takeShare(perS, nowMs)
                 ? Decision.GRANTED
-                : new Decision(false, Math.min(bounds.windowMs(), lease.shareWaitMs(perS, nowMs)), 0, host);
+                : new Decision(false, Math.min(retryMs, lease.shareWaitMs(perS, nowMs)), 0, host);
     }
 
     /** Returns a number in [0, 1) that differs between hosts. */
@@ -711,6 +728,7 @@
 
     /** Other hosts may have kept the accounts meanwhile; granted tokens may count as returned. */
     private void onPause(long nowMs) {
+        resumedMs = nowMs;
         accounts.forEach((customer, account) -> {
             account.skip(nowMs);
             announceTo(customer);
@@ -738,10 +756,9 @@
         reach.nextRound();
         List<String> silent = order.silent(nowMs);
         if (!silent.isEmpty()) {
-            send(
+            sendRepeatedly(
                     silent.get(Math.floorMod(nextSilent++, silent.size())),
                     QuotaRequest.newBuilder(),
-                    REPLY_TIMEOUT_MS,
                     ReplyHandler.NONE);
         }
         if (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS) {
@@ -766,7 +783,7 @@
 
     private void ping(String other) {
         int round = reach.round();
-        send(other, QuotaRequest.newBuilder(), REPLY_TIMEOUT_MS, new ReplyHandler() {
+        sendRepeatedly(other, QuotaRequest.newBuilder(), new ReplyHandler() {
             @Override
             public void onReply(QuotaReply reply) {
                 reach.countAnswered(round);
