--- a/core/src/main/java/org/celerygw/core/servers/Reachability.java
+++ b/core/src/main/java/org/celerygw/core/servers/Reachability.java
@@ -116,6 +116,15 @@
         return cutOff;
     }
 
+    /**
+     * Returns whether {@link #serversToProbe} may return more than 0 before the next request is sent.
+     *
+     * @return false while no request is in flight and the host is not cut off
+     */
+    public boolean needsChecks() {
+        return cutOff || inFlight > 0;
+    }
+
     /**
      * Returns how many servers should be connected to now to find out whether this host reaches them: some when requests
      * are in flight and nothing has arrived for a while, and one at a time while the host is cut off.
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -216,7 +216,6 @@
                 if (r.succeeded()) {
                     gateway.sweep();
                     gateway.cleanUp();
-                    gateway.links.start();
                     LOG.atInfo()
                             .addKeyValue("host", settings.host())
                             .addKeyValue("zone", settings.zone())
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ServerLinks.java
@@ -36,6 +36,7 @@
     private final OriginPools originPools;
     private final PeerRoute peerRoute;
     private final Reachability reachability = new Reachability();
+    private boolean checking;
     private long relayedRequests;
 
     /**
@@ -63,10 +64,21 @@
         this.peerRoute = peerRoute;
     }
 
-    /** Starts the checks that find out whether this host is cut off from the servers. */
-    public void start() {
+    /** Starts the checks that find out whether this host is cut off; they end when it is not and no request is in flight. */
+    private void ensureChecking() {
+        if (!checking) {
+            checking = true;
+            scheduler.schedule(CHECK_INTERVAL_MS, this::check);
+        }
+    }
+
+    private void check() {
+        checking = false;
+        if (!reachability.needsChecks()) {
+            return;
+        }
         // First, so that the next check does not depend on how this one ends.
-        scheduler.schedule(CHECK_INTERVAL_MS, this::start);
+        ensureChecking();
         int count = reachability.serversToProbe(clock.nowMs());
         if (count > 0) {
             probe(count);
@@ -175,6 +187,7 @@
         long usable = servers.all().stream().filter(TrackedServer::isUsable).count();
         if (reachability.onConnectFailed(server, nowMs - sinceMs, (int) usable, nowMs)) {
             originPools.closeAllIdle();
+            ensureChecking();
             LOG.atWarn()
                     .addKeyValue("lastServer", server.entry().id())
                     .addKeyValue("servers", usable)
@@ -228,6 +241,7 @@
             directInFlight = true;
             directSinceMs = clock.nowMs();
             reachability.onSend(directSinceMs);
+            ensureChecking();
             pending = originPools
                     .poolFor(server)
                     .send(request, head -> dialect.matchesRequest(head, requestId), maxIdleMs, new DirectHandler());
