Let the configuration's long polls wait longer in large fleets, and poll the servers' feed less often

Cause: each host polled the configuration every second although it hardly ever changes, and the servers' entries, which change every second with the heartbeats, up to 2.5 times a second.

A host tells its group of a new version at once, and feeds are read from a peer that has the newest one rather than from any. When the servers' feed has failed, the configuration is read anew beside its poll, whose connection may be silent too. The servers' feed is polled every 30 ms for each live peer, 1.5 s at most (20 ms and 1 s before).

--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -13,10 +13,10 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.FeedWait;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.scheduling.EngineQueue;
@@ -64,8 +64,10 @@
     private static final String SERVER_FEED = "servers";
     private static final long CONFIG_POLL_INTERVAL_MS = 100;
     private static final long MIN_SERVER_POLL_INTERVAL_MS = 400;
-    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_000;
-    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 20;
+    /** A draining server must be known within 2 s; the store's answer and a repeated read take the rest. */
+    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_500;
+
+    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 30;
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
@@ -127,9 +129,8 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
-        this.configurationWatch =
-                createWatch(adapter.configurationFeed(), health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
-        this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
+        this.configurationWatch = createConfigurationWatch(health);
+        this.serverWatch = createServerWatch(health);
         List<Table> partitions = adapter.partitions(settings.partitions()).stream()
                 .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
                 .toList();
@@ -195,8 +196,15 @@
         return peers.serverRelays();
     }
 
-    private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
-        return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
+    private Watch createConfigurationWatch(StoreHealth health) {
+        RowFeed feed = new HealthTrackingFeed(adapter.configurationFeed(), health);
+        return new Watch(
+                feed, clock, scheduler, () -> CONFIG_POLL_INTERVAL_MS, this::configurationWaitMs, new ConfigListener());
+    }
+
+    private Watch createServerWatch(StoreHealth health) {
+        RowFeed feed = new HealthTrackingFeed(adapter.serverFeed(), health);
+        return new Watch(feed, clock, scheduler, this::serverPollIntervalMs, new ServerListener());
     }
 
     /**
@@ -296,6 +304,15 @@
         return Math.max(MIN_SERVER_POLL_INTERVAL_MS, Math.min(MAX_SERVER_POLL_INTERVAL_MS, intervalMs));
     }
 
+    /** A host that serves customers must know soon that its configuration is the newest: their keys may be withdrawn. */
+    private long configurationWaitMs() {
+        boolean hasKeys = routes != null && routes.customers().requiresKeys();
+        boolean mustConfirm = hasKeys || settings.customerBounds().strictRevocation();
+        long confirmWithinMs = mustConfirm ? settings.customerBounds().revokeMs() : Long.MAX_VALUE;
+        return FeedWait.nextMs(1 + livePeers(), confirmWithinMs, () -> ThreadLocalRandom.current()
+                .nextDouble());
+    }
+
     private Future<Void> listen() {
         GatewaySettings.Address clientAddress = settings.clientAddress();
         GatewaySettings.Address readinessAddress = settings.readinessAddress();
@@ -497,6 +514,8 @@
                     .addKeyValue("routes", newRoutes.size())
                     .log("config: new configuration is in force");
             routes = newRoutes;
+            // Hosts whose connection to the store has gone silent learn of the version from digests.
+            peers.loadChanged();
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
         }
@@ -509,6 +528,11 @@
 
         @Override
         public void onSnapshot(List<Row> rows) {
+            if (serversKnown) {
+                // A snapshot follows a failure, and the long poll of the configuration may wait on a dead connection
+                // too.
+                configurationWatch.reread();
+            }
             serversKnown = true;
             servers.replaceAll(
                     rows.stream().flatMap(r -> serverRows.decode(r).stream()).toList(), clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -17,6 +17,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.CrashSuspect;
@@ -308,13 +309,16 @@
     }
 
     /**
-     * Reads all rows of a feed from a peer.
+     * Reads all rows of a feed from a peer, one of those with the newest configuration.
      *
      * @param name the feed's name
      * @param callback called with the rows as last received by that peer; with status FAILED when no peer answers
      */
     public void readFeed(String name, Consumer<RowFeed.Result> callback) {
+        long newestVersion =
+                relayPeers().mapToLong(p -> p.digest.getConfigVersion()).max().orElse(0);
         relay(
+                relayPeers().filter(p -> p.digest.getConfigVersion() == newestVersion),
                 RelayedCall.newBuilder().setFeed(name).build(),
                 reply -> callback.accept(reply.filter(RelayedReply::hasFeed)
                         .map(RelayedReply::getFeed)
@@ -393,10 +397,16 @@
 
     /** Relays a store call through a live peer that the store answers, chosen round-robin. */
     void relay(RelayedCall call, Consumer<Optional<RelayedReply>> callback) {
-        List<Peer> candidates = peers.live()
-                .filter(p -> p.digest.getStoreAnswers() && !p.digest.getLeaving())
-                .sorted(Comparator.comparing(p -> p.digest.getHost()))
-                .toList();
+        relay(relayPeers(), call, callback);
+    }
+
+    private Stream<Peer> relayPeers() {
+        return peers.live().filter(p -> p.digest.getStoreAnswers() && !p.digest.getLeaving());
+    }
+
+    private void relay(Stream<Peer> through, RelayedCall call, Consumer<Optional<RelayedReply>> callback) {
+        List<Peer> candidates =
+                through.sorted(Comparator.comparing(p -> p.digest.getHost())).toList();
         if (candidates.isEmpty()) {
             callback.accept(Optional.empty());
             return;
--- a/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
+++ b/gateway/src/main/java/org/celerygw/gateway/watch/Watch.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.celerygw.core.peers.FeedWait;
 import org.celerygw.core.store.Row;
 import org.celerygw.core.time.Clock;
 import org.celerygw.core.turns.Scheduler;
@@ -15,7 +16,6 @@
  * a version older than one that it has already received.
  */
 public final class Watch {
-    private static final long POLL_WAIT_MS = 1_000;
     private static final long MIN_BACKOFF_MS = 100;
     private static final long MAX_BACKOFF_MS = 500;
 
@@ -23,6 +23,7 @@
     private final Clock clock;
     private final Scheduler scheduler;
     private final LongSupplier pollIntervalMs;
+    private final LongSupplier pollWaitMs;
     private final Listener listener;
     private final SortedMap<String, Row> rows = new TreeMap<>();
     private Consumer<Consumer<RowFeed.Result>> peerSource =
@@ -30,6 +31,7 @@
     private long version = -1;
     private boolean hasSnapshot;
     private boolean peerReadInFlight;
+    private boolean rereadInFlight;
     private long requestedAtMs;
     private int consecutiveFailures;
 
@@ -57,7 +59,7 @@
     }
 
     /**
-     * Creates a watch that is not started yet.
+     * Creates a watch that is not started yet and whose polls wait for {@value FeedWait#MIN_WAIT_MS} ms.
      *
      * @param feed the feed to watch
      * @param clock the clock by which the poll interval is measured
@@ -66,10 +68,31 @@
      * @param listener receives snapshots and changes
      */
     public Watch(RowFeed feed, Clock clock, Scheduler scheduler, LongSupplier pollIntervalMs, Listener listener) {
+        this(feed, clock, scheduler, pollIntervalMs, () -> FeedWait.MIN_WAIT_MS, listener);
+    }
+
+    /**
+     * Creates a watch that is not started yet.
+     *
+     * @param feed the feed to watch
+     * @param clock the clock by which the poll interval is measured
+     * @param scheduler runs the polls and retries
+     * @param pollIntervalMs returns the minimum time between the starts of two polls, in ms
+     * @param pollWaitMs returns how long the store may hold the next poll, in ms
+     * @param listener receives snapshots and changes
+     */
+    public Watch(
+            RowFeed feed,
+            Clock clock,
+            Scheduler scheduler,
+            LongSupplier pollIntervalMs,
+            LongSupplier pollWaitMs,
+            Listener listener) {
         this.feed = feed;
         this.clock = clock;
         this.scheduler = scheduler;
         this.pollIntervalMs = pollIntervalMs;
+        this.pollWaitMs = pollWaitMs;
         this.listener = listener;
     }
 
@@ -114,10 +137,24 @@
         });
     }
 
+    /** Reads the rows anew beside the poll in flight, whose connection may have gone silent; one such read at a time. */
+    public void reread() {
+        if (rereadInFlight || !hasSnapshot) {
+            return;
+        }
+        rereadInFlight = true;
+        feed.readAll(result -> {
+            rereadInFlight = false;
+            if (result.status() == RowFeed.Status.OK) {
+                applySnapshot(result);
+            }
+        });
+    }
+
     private void poll() {
         requestedAtMs = clock.nowMs();
         if (hasSnapshot) {
-            feed.awaitChanges(version, POLL_WAIT_MS, this::onPollResult);
+            feed.awaitChanges(version, pollWaitMs.getAsLong(), this::onPollResult);
         } else {
             feed.readAll(result -> {
                 if (result.status() == RowFeed.Status.OK) {
--- a/gateway/src/test/java/org/celerygw/gateway/watch/WatchTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/watch/WatchTest.java
@@ -41,6 +41,28 @@
         assertEquals(StepFailures.count() - failedBefore, 5);
     }
 
+    /** Guards against a configuration that is late by the rest of a long poll whose connection has gone silent. */
+    @Test
+    public void rereadDeliversRowsWhileThePollIsSilent() {
+        received.clear();
+        RowFeed silent = new RowFeed() {
+            @Override
+            public void readAll(Consumer<Result> callback) {
+                new Feed().readAll(callback);
+            }
+
+            @Override
+            public void awaitChanges(long after, long waitMs, Consumer<Result> callback) {
+                received.add("poll of " + waitMs);
+            }
+        };
+        Watch watch = new Watch(
+                silent, () -> 0, (delayMs, task) -> task.run(), () -> 1, () -> 20_000, new FailingListener(null));
+        watch.start();
+        watch.reread();
+        assertEquals(received, List.of("poll of 20000", "snapshot", "snapshot"));
+    }
+
     /** A feed that answers at once, each time with a changed row. */
     private final class Feed implements RowFeed {
         @Override
@@ -80,6 +102,9 @@
 
         private void fail(String call) {
             received.add(call);
+            if (failure == null) {
+                return;
+            }
             if (failure instanceof Error error) {
                 throw error;
             }
