--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
 import org.celerygw.core.gen.peers.QuotaReply;
@@ -23,6 +22,7 @@
 import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
 import org.celerygw.core.limits.QuotaBounds;
+import org.celerygw.core.peers.FeedWait;
 import org.celerygw.core.peers.ZoneRoomCodec;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
@@ -74,8 +74,10 @@
     private static final String SERVER_FEED = "servers";
     private static final long CONFIG_POLL_INTERVAL_MS = 100;
     private static final long MIN_SERVER_POLL_INTERVAL_MS = 400;
-    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_000;
-    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 20;
+    /** A draining server must be known within 2 s; the store's answer and a repeated read take the rest. */
+    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_500;
+
+    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 30;
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
@@ -142,7 +144,7 @@
         StoreHealth health = new StoreHealth(clock);
         this.configFreshness = createFreshness(settings.customerBounds());
         this.configurationWatch = createConfigurationWatch(health);
-        this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
+        this.serverWatch = createServerWatch(health);
         List<Table> partitions = meteredPartitions();
         Dialect dialect = adapter.dialect();
         this.links = new ServerLinks(clock, scheduler, dialect, servers, originPools, this::serverRelays);
@@ -230,12 +232,15 @@
     }
 
     private Watch createConfigurationWatch(StoreHealth health) {
-        RowFeed feed = new ConfirmingFeed(adapter.configurationFeed(), clock, configFreshness);
-        return createWatch(feed, health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
+        RowFeed confirming = new ConfirmingFeed(adapter.configurationFeed(), clock, configFreshness);
+        RowFeed feed = new HealthTrackingFeed(confirming, health);
+        return new Watch(
+                feed, clock, scheduler, () -> CONFIG_POLL_INTERVAL_MS, this::configurationWaitMs, new ConfigListener());
     }
 
-    private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
-        return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
+    private Watch createServerWatch(StoreHealth health) {
+        RowFeed feed = new HealthTrackingFeed(adapter.serverFeed(), health);
+        return new Watch(feed, clock, scheduler, this::serverPollIntervalMs, new ServerListener());
     }
 
     /**
@@ -255,7 +260,6 @@
                 if (r.succeeded()) {
                     gateway.sweep();
                     gateway.cleanUp();
-                    gateway.links.start();
                     LOG.atInfo()
                             .addKeyValue("host", settings.host())
                             .addKeyValue("zone", settings.zone())
@@ -336,6 +340,15 @@
         return Math.max(MIN_SERVER_POLL_INTERVAL_MS, Math.min(MAX_SERVER_POLL_INTERVAL_MS, intervalMs));
     }
 
+    /** A host that serves customers must know soon that its configuration is the newest: their keys may be withdrawn. */
+    private long configurationWaitMs() {
+        boolean hasKeys = routes != null && routes.customers().requiresKeys();
+        boolean mustConfirm = hasKeys || settings.customerBounds().strictRevocation();
+        long confirmWithinMs = mustConfirm ? settings.customerBounds().revokeMs() : Long.MAX_VALUE;
+        return FeedWait.nextMs(1 + livePeers(), confirmWithinMs, () -> ThreadLocalRandom.current()
+                .nextDouble());
+    }
+
     private Future<Void> listen() {
         GatewaySettings.Address clientAddress = settings.clientAddress();
         GatewaySettings.Address readinessAddress = settings.readinessAddress();
@@ -622,6 +635,8 @@
                     .addKeyValue("configVersion", newRoutes.version())
                     .addKeyValue("problem", problem)
                     .log("config: a customer's entry cannot be used as it is"));
+            // Hosts whose connection to the store has gone silent learn of the version from digests.
+            peers.loadChanged();
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
         }
@@ -634,6 +649,11 @@
 
         @Override
         public void onSnapshot(List<Row> rows) {
+            if (serversKnown) {
+                // A snapshot follows a failure, and the long poll of the configuration may wait on a dead connection
+                // too.
+                configurationWatch.reread();
+            }
             serversKnown = true;
             servers.replaceAll(
                     rows.stream().flatMap(r -> serverRows.decode(r).stream()).toList(), clock.nowMs());
