Prefer engines that hold the shared parts of a prompt

Cause: engines compute shared prompts of thousands of tokens again, though another engine of the group holds them.

Change: hosts remember which shared parts they have sent to an engine, learn the time per missing token from first events, and choose among the engines below the load limit those with the least missing prefill and batch time. Without named parts, or without an observed dependence, nothing changes.

--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -292,7 +292,12 @@
     }
 
     private static Placement placement(EngineRequest request) {
-        return new Placement(request.affinityKey(), request.previousServer(), request.triedServers(), request.tokens());
+        return new Placement(
+                request.affinityKey(),
+                request.previousServer(),
+                request.triedServers(),
+                request.tokens(),
+                request.sharedParts());
     }
 
     private void refuseExpired(String service, TreeSet<Entry> queue, long nowMs) {
--- a/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
@@ -1,11 +1,13 @@
 package org.celerygw.core.servers;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -23,14 +25,25 @@
 
     private static final int BORROW_CHOICES = 2;
 
+    /** A full batch takes longer than one request by about this part of the service time. */
+    private static final double LOAD_COST = 0.25;
+
+    /** Expected times that differ by no more than this part of the service time count as equal. */
+    private static final double ALIKE_SHARE = 0.05;
+
     private final EngineGroup group;
     private final Spillover spillover;
+    private final PrefillTimes prefillTimes = new PrefillTimes();
 
     EngineSelector(EngineGroup group, Spillover spillover) {
         this.group = group;
         this.spillover = spillover;
     }
 
+    PrefillTimes prefillTimes() {
+        return prefillTimes;
+    }
+
     /** Engines with a request limit have little load; it says nothing about how much the others should have. */
     static double loadLimit(List<TrackedServer> candidates, long nowMs) {
         double meanLoad = candidates.stream()
@@ -85,7 +98,8 @@
         if (trial.isPresent()) {
             return trial;
         }
-        Optional<TrackedServer> own = firstBelowLimit(ownWithRoom, placement, loadLimit, nowMs);
+        Optional<TrackedServer> own = firstBelowLimit(
+                leastPrefill(belowLimit(ownWithRoom, loadLimit, nowMs), placement, nowMs), placement, loadLimit, nowMs);
         if (own.isPresent()) {
             return own;
         }
@@ -117,10 +131,39 @@
 
     private static Optional<TrackedServer> firstBelowLimit(
             List<TrackedServer> withRoom, Placement placement, double loadLimit, long nowMs) {
-        List<TrackedServer> belowLimit = withRoom.stream()
+        return Rendezvous.first(belowLimit(withRoom, loadLimit, nowMs), placement.affinityKey(), weight(nowMs));
+    }
+
+    private static List<TrackedServer> belowLimit(List<TrackedServer> withRoom, double loadLimit, long nowMs) {
+        return withRoom.stream()
                 .filter(server -> scaledLoad(server, nowMs) < loadLimit)
                 .toList();
-        return Rendezvous.first(belowLimit, placement.affinityKey(), weight(nowMs));
+    }
+
+    /** Returns the engines that are expected to complete first, the missing parts of the prompt included. */
+    private List<TrackedServer> leastPrefill(List<TrackedServer> withRoom, Placement placement, long nowMs) {
+        double msPerToken = prefillTimes.msPerToken();
+        if (placement.sharedParts().isEmpty() || msPerToken == 0 || withRoom.size() < 2) {
+            return withRoom;
+        }
+        double serviceMs = spillover.serviceMs(withRoom.get(0).entry().service());
+        long sharedTokens =
+                placement.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
+        double[] expectedMs = withRoom.stream()
+                .mapToDouble(server -> {
+                    long missing = sharedTokens - server.promptCache().heldTokens(placement.sharedParts(), nowMs);
+                    double batchMs = LOAD_COST
+                            * serviceMs
+                            * server.load()
+                            / Math.max(1, server.entry().slots());
+                    return server.speed().slowness(nowMs) * (missing * msPerToken + batchMs);
+                })
+                .toArray();
+        double limitMs = Arrays.stream(expectedMs).min().orElse(0) + ALIKE_SHARE * serviceMs;
+        return IntStream.range(0, expectedMs.length)
+                .filter(i -> expectedMs[i] <= limitMs)
+                .mapToObj(withRoom::get)
+                .toList();
     }
 
     /** Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error. */
--- a/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSelector.java
@@ -309,6 +309,15 @@
                 cacheAffinity.select(allowed(candidates, nowMs), other, route, objectKey, nowMs), () -> other, nowMs);
     }
 
+    /**
+     * Returns how long engines take for a token of a prompt.
+     *
+     * @return the times, to which first events are reported
+     */
+    public PrefillTimes prefillTimes() {
+        return engineSelector.prefillTimes();
+    }
+
     /**
      * Returns what is known of the caches of servers.
      *
--- a/core/src/main/java/org/celerygw/core/servers/Spillover.java
+++ b/core/src/main/java/org/celerygw/core/servers/Spillover.java
@@ -41,6 +41,10 @@
         serviceMs = byService;
     }
 
+    double serviceMs(String service) {
+        return serviceMs.applyAsDouble(service);
+    }
+
     /**
      * Selects an engine for a request whose group has none below the load limit.
      *
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -30,6 +30,7 @@
     private boolean peersReportFailures;
     private final RequestLimit limit = new RequestLimit();
     private final ServerSpeed speed = new ServerSpeed();
+    private final PromptCache promptCache = new PromptCache();
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
@@ -295,6 +296,15 @@
         return speed;
     }
 
+    /**
+     * Returns the shared parts of prompts that this engine probably holds.
+     *
+     * @return the parts as sent to this incarnation
+     */
+    public PromptCache promptCache() {
+        return promptCache;
+    }
+
     /** Returns the id, encoded once for the hashes of many decisions; not to be changed. */
     byte[] idBytes() {
         return idBytes;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -36,7 +36,8 @@
                 exchange.latestSendMs(),
                 programDeadlineMs,
                 exchange.customer().map(Customer::id),
-                turn.memoryTokens());
+                turn.memoryTokens(),
+                exchange.sharedParts());
         exchange.forwarder.engineQueue.offer(request, this, sinceMs);
         exchange.forwarder.queueChanged();
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -13,6 +13,7 @@
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
 import org.celerygw.core.servers.CacheAffinity;
+import org.celerygw.core.servers.PromptPart;
 import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
@@ -351,6 +352,15 @@
                 candidates(plainService), triedServerIds, affinityKey(), forwarder.clock.nowMs());
     }
 
+    /** Returns the parts of the prompt that other requests share; the last part is the request's own. */
+    List<PromptPart> sharedParts() {
+        List<RequestMetadata.PromptPart> parts = metadata.promptParts();
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(part -> new PromptPart(part.id(), part.tokens()))
+                .toList();
+    }
+
     /** Returns whether some servers may have the object of the request in their cache. */
     private boolean isAboutObject() {
         return route.sticky() && !metadata.affinityKey().isEmpty();
@@ -489,6 +499,7 @@
         private final TrackedServer server;
         private final int eventsBefore;
         private final int loadAtStart;
+        private final long missingTokens;
         private long firstBodyMs;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
@@ -497,6 +508,10 @@
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
             this.loadAtStart = server.load() - 1;
+            List<PromptPart> shared = sharedParts();
+            this.missingTokens =
+                    metadata.promptTokens() - server.promptCache().heldTokens(shared, forwarder.clock.nowMs());
+            server.promptCache().add(shared, forwarder.clock.nowMs());
             this.eventsBefore = responseWriter.receivedEvents();
         }
 
@@ -614,12 +629,18 @@
             long nowMs = forwarder.clock.nowMs();
             long wholeMs = lastReceivedMs - sentMs;
             if (service.runsEngines()) {
+                if (!metadata.promptParts().isEmpty()) {
+                    forwarder
+                            .serverSelector
+                            .prefillTimes()
+                            .record(missingTokens, firstBodyMs / server.speed().slowness(nowMs));
+                }
                 int events = Math.max(0, responseWriter.receivedEvents() - eventsBefore - 1);
                 forwarder.speedLearner.recordEngineResponse(
                         server,
                         route.name(),
                         loadAtStart,
-                        new SpeedLearner.EngineTimes(metadata.promptTokens(), events, firstBodyMs, wholeMs),
+                        new SpeedLearner.EngineTimes(missingTokens, events, firstBodyMs, wholeMs),
                         nowMs);
             } else {
                 String work = isAboutObject() ? route.name() + recordWarmth(service, wholeMs, nowMs) : route.name();
