Keep more memory of engines free for what hosts do not know yet

Cause: in simulation, engines held several times their memory under overload: the hosts start requests that the others hear of 15 ms later, and engines of other groups are used by loads that a sample tells. Change: the margin is half of the tokens of the same group's hosts and all of those scaled from samples; a request whose size counts uses no engine of another group in the zone.

--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -38,9 +38,9 @@
      * The part of the peers' engine memory that is kept free: a host of the same group may have started a request in the 15
      * ms until its digest is sent, and the load of other groups is scaled up from a sample.
      */
-    private static final double GROUP_MARGIN = 0.125;
+    private static final double GROUP_MARGIN = 0.5;
 
-    private static final double SAMPLE_MARGIN = 0.5;
+    private static final double SAMPLE_MARGIN = 1;
     /** A peer of which nothing was heard for this long, in ms, is taken for dead rather than cut off. */
     private static final long MAX_SILENCE_MS = 30_000;
 
--- a/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
@@ -126,6 +126,10 @@
     /** Only a few engines of other groups are considered: the least loaded of many inexact loads is mostly an error. */
     private List<TrackedServer> borrowed(List<TrackedServer> others, Placement placement, long nowMs) {
         int choices = group.count() == 1 ? others.size() : BORROW_CHOICES;
+        if (group.count() > 1 && placement.tokens() > 0) {
+            // An engine of another group whose load is known by a sample only could crash for lack of memory.
+            return List.of();
+        }
         return Rendezvous.order(others, placement.affinityKey(), weight(nowMs), choices).stream()
                 .filter(server -> group.count() == 1
                         || server.load()
--- a/core/src/test/java/org/celerygw/core/scheduling/CompetingCustomersTest.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/CompetingCustomersTest.java
@@ -97,4 +97,23 @@
         assertTrue(urgent > 0.8 && urgent > others, "rank 0 " + urgent + ", rank 1 " + others);
         assertTrue(hosts.tallies.get("rank1").inTime > 0, "what rank 0 leaves is not used");
     }
+
+    /** Guards against engines that crash for lack of memory, and against large prompts that small ones keep waiting. */
+    @Test
+    public void largePromptsAreServedBesideSmallOnesAndMemoryIsExceededByLittle() {
+        int memoryTokens = 100_000;
+        SimulatedHosts hosts = new SimulatedHosts(new SimulatedHosts.Options(86, 31, 8, true, true, 0.05))
+                .withMemory(memoryTokens)
+                .withPrograms(
+                        random -> new Kind(3, 0, Optional.empty(), random.nextDouble() < 0.2 ? 14_000 : 5_000),
+                        3,
+                        kind -> kind.tokens() > 5_000 ? "large" : "small")
+                .run(0.8, DURATION_MS);
+        double large = hosts.tallies.get("large").shareInTime();
+        System.out.printf(
+                "in time: large %.2f, small %.2f, all %.2f; held at most %d tokens%n",
+                large, hosts.tallies.get("small").shareInTime(), hosts.shareInTime(), hosts.maxHeldTokens());
+        assertTrue(large > hosts.shareInTime() / 4, "large prompts: " + large);
+        assertTrue(hosts.maxHeldTokens() < 1.4 * memoryTokens, "held " + hosts.maxHeldTokens());
+    }
 }
