Trim the list of recent starts where it is filled

Cause: it was trimmed only when a digest was built, so a host without peers kept an entry for each program until its process ended. Change: trimmed at each start as well.

--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -405,10 +405,14 @@
      * @return hashes of their ids
      */
     public List<Integer> recentlyStarted(long nowMs) {
+        trimRecentStarts(nowMs);
+        return recentStarts.stream().map(Start::programHash).toList();
+    }
+
+    private void trimRecentStarts(long nowMs) {
         while (!recentStarts.isEmpty() && recentStarts.peek().atMs() < nowMs - RECENT_START_MS) {
             recentStarts.remove();
         }
-        return recentStarts.stream().map(Start::programHash).toList();
     }
 
     /**
@@ -437,6 +441,7 @@
         server.ifPresent(selected -> {
             int program = hash(request.program());
             if (!request.program().isEmpty() && startedPrograms.put(program, true) == null) {
+                trimRecentStarts(nowMs);
                 recentStarts.add(new Start(nowMs, program));
             }
             customers.started(entry.customer, serviceMs(request.service()), nowMs);
