--- a/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
@@ -172,6 +172,10 @@
             return List.of();
         }
         int choices = group.count() == 1 ? others.size() : BORROW_CHOICES;
+        if (group.count() > 1 && placement.tokens() > 0) {
+            // An engine of another group whose load is known by a sample only could crash for lack of memory.
+            return List.of();
+        }
         return Rendezvous.order(others, placement.affinityKey(), weight(nowMs), choices).stream()
                 .filter(this::mayBorrow)
                 .toList();
