Ping only for accounts, and not because of pings

Cause: a host without accounts pinged others while some host was silent, and pings of others kept its timer going.

Change: only hosts with accounts sample how many hosts answer; pings do not count as activity. LruMap has its own file.

--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -72,11 +71,11 @@
     private final Network network;
     private final KeeperOrder order;
     private final ReachEstimate reach = new ReachEstimate();
-    private final Map<String, CustomerLease> leases = new LruMap<>();
-    private final Map<String, QuotaAccount> accounts = new LruMap<>();
-    private final Map<String, Optional<String>> keepers = new LruMap<>();
+    private final Map<String, CustomerLease> leases = new LruMap<>(MAX_CUSTOMERS);
+    private final Map<String, QuotaAccount> accounts = new LruMap<>(MAX_CUSTOMERS);
+    private final Map<String, Optional<String>> keepers = new LruMap<>(MAX_CUSTOMERS);
     /** Answers to messages that may arrive again. */
-    private final Map<Long, QuotaReply> answered = new LruMap<>();
+    private final Map<Long, QuotaReply> answered = new LruMap<>(MAX_CUSTOMERS);
 
     private final Map<Long, Sent> sent = new HashMap<>();
     private long nextRequestId;
@@ -162,20 +161,6 @@
 
     private record Sent(String host, long sentMs, ReplyHandler handler) {}
 
-    /** A map that forgets the entry that was not used for longest. */
-    private static final class LruMap<K, V> extends LinkedHashMap<K, V> {
-        private static final long serialVersionUID = 1;
-
-        LruMap() {
-            super(64, 0.75f, true);
-        }
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-            return size() > MAX_CUSTOMERS;
-        }
-    }
-
     /**
      * Creates the quotas of a host that has just started.
      *
@@ -258,8 +243,11 @@
      * @param callback called with the reply, now or when the account's host has answered
      */
     public void answer(QuotaRequest request, Consumer<QuotaReply> callback) {
+        long beforeMs = usedMs;
         long nowMs = enter();
         String customer = request.getCustomer();
+        // A ping does not keep this host's own pings going.
+        usedMs = customer.isEmpty() ? beforeMs : nowMs;
         QuotaReply elsewhere = QuotaReply.newBuilder().setId(request.getId()).build();
         QuotaReply before = answered.get(request.getId());
         if (before != null) {
@@ -761,7 +749,7 @@
                     QuotaRequest.newBuilder(),
                     ReplyHandler.NONE);
         }
-        if (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS) {
+        if (!accounts.isEmpty() && (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS)) {
             ping(PINGS_PER_TICK, nowMs);
         }
     }
