--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -1,5 +1,7 @@
 package org.celerygw.core.servers;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 /**
  * One incarnation of a backend server with its load and its health, as derived from its responses and from the peers'
  * digests. Not thread-safe.
@@ -13,6 +15,7 @@
     private static final double HIGH_FAILURE_RATE = 0.25;
     private static final double FAILURE_RATE_HALF_LIFE_MS = 3_000;
 
+    private final byte[] idBytes;
     private BackendServer entry;
     private boolean hasLeft;
     private boolean leaving;
@@ -27,9 +30,11 @@
     private boolean peersReportFailures;
     private final RequestLimit limit = new RequestLimit();
     private final ServerSpeed speed = new ServerSpeed();
+    private final PromptCache promptCache = new PromptCache();
 
     TrackedServer(BackendServer entry) {
         this.entry = entry;
+        this.idBytes = entry.id().getBytes(UTF_8);
     }
 
     /**
@@ -108,24 +113,38 @@
     }
 
     /**
-     * Returns whether the server's memory suffices for one more request beside those in flight. A part of the peers' load
-     * is kept free, since it is an estimate. A host that hears of no peer any more keeps to its part of the memory, so that
-     * all hosts together do not exceed it, but it may always run one request.
+     * Returns whether the server's memory suffices for one more request beside those in flight, as {@link #memoryRoom} does.
      *
      * @param tokens the memory that the request can hold at its end, in tokens; 0 if not known
      * @param memoryTokens the server's memory, in tokens; 0 if not known
      * @return true if it fits, or if either size is not known
      */
     public boolean hasMemory(long tokens, int memoryTokens) {
+        return memoryRoom(tokens, memoryTokens) > 0;
+    }
+
+    /**
+     * Returns for how many more requests the server's memory suffices beside those in flight. A part of the peers' load is
+     * kept free, since it is an estimate. A host that hears of no peer any more keeps to its part of the memory, so that all
+     * hosts together do not exceed it, but it may always run one request.
+     *
+     * @param tokens the memory that each of the requests can hold at its end, in tokens; 0 if not known
+     * @param memoryTokens the server's memory, in tokens; 0 if not known
+     * @return the number of requests; {@link Integer#MAX_VALUE} if either size is not known
+     */
+    public int memoryRoom(long tokens, int memoryTokens) {
         if (tokens <= 0 || memoryTokens <= 0) {
-            return true;
-        }
-        if (ownTokens > 0 && ownTokens + tokens > memoryTokens / (silentPeers + 1)) {
-            return false;
+            return Integer.MAX_VALUE;
         }
         double unsizedTokens = peers.unsizedRequests() * memoryTokens / Math.max(1, entry.slots());
         double peersTokens = peers.tokens() + peers.marginTokens() + unsizedTokens;
-        return ownTokens + Math.max(0, peersTokens) + tokens <= memoryTokens;
+        double freeTokens = memoryTokens - ownTokens - Math.max(0, peersTokens);
+        int room = (int) Math.max(0, freeTokens / tokens);
+        if (silentPeers == 0) {
+            return room;
+        }
+        long ownPartTokens = memoryTokens / (silentPeers + 1) - ownTokens;
+        return (int) Math.min(room, Math.max(ownTokens > 0 ? 0 : 1, ownPartTokens / tokens));
     }
 
     /**
@@ -231,7 +250,8 @@
      * @return true if other servers should be preferred
      */
     public boolean hasHighLocalFailureRate(long nowMs) {
-        return failureRateAt(nowMs) > HIGH_FAILURE_RATE;
+        // It only decays, so that a low rate need not be computed.
+        return failureRate > HIGH_FAILURE_RATE && failureRateAt(nowMs) > HIGH_FAILURE_RATE;
     }
 
     /**
@@ -290,6 +310,20 @@
         return speed;
     }
 
+    /**
+     * Returns the shared parts of prompts that this engine probably holds.
+     *
+     * @return the parts as sent to this incarnation
+     */
+    public PromptCache promptCache() {
+        return promptCache;
+    }
+
+    /** Returns the id, encoded once for the hashes of many decisions; not to be changed. */
+    byte[] idBytes() {
+        return idBytes;
+    }
+
     /** Records the entry as registered now, for the first time, changed, or again. */
     void onRegistered(BackendServer newEntry) {
         entry = newEntry;
--- a/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EngineWait.java
@@ -36,7 +36,8 @@
                 exchange.latestSendMs(),
                 programDeadlineMs,
                 exchange.customer().map(Customer::id),
-                turn.memoryTokens());
+                turn.memoryTokens(),
+                exchange.sharedParts());
         exchange.forwarder.engineQueue.offer(request, this, sinceMs);
         exchange.forwarder.queueChanged();
     }
@@ -54,6 +55,8 @@
 
     @Override
     public void refuse(String reason, long retryAfterMs) {
+        exchange.forwarder.requestLog.logQueueRefusal(
+                exchange, reason, exchange.forwarder.clock.nowMs() - sinceMs, retryAfterMs);
         exchange.onEngineRefused(reason, retryAfterMs);
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -12,6 +12,8 @@
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
+import org.celerygw.core.servers.CacheAffinity;
+import org.celerygw.core.servers.PromptPart;
 import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
@@ -48,6 +50,7 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final Optional<Customer> customer;
+    final ReadPacer pacer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
     private final QuotaTokens quotaTokens;
@@ -90,6 +93,7 @@
         this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
         this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
+        this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
     }
@@ -256,15 +260,21 @@
                 Math.max(1, remainingMs()),
                 maxConnectionIdleMs(),
                 new BackendResponseHandler(server));
+        pacer.begin(pendingRequest);
         earlierRequests = pendingRequest.earlierRequests();
         if (route.repeatable()) {
             watchForSilence(pendingRequest, server);
         }
     }
 
+    /** Returns for how long the server has sent nothing although it was read, in ms. */
+    private long silentMs() {
+        return pacer.isPaused() ? 0 : forwarder.clock.nowMs() - Math.max(lastReceivedMs, pacer.readingSinceMs());
+    }
+
     /** Cancels the send when its server is silent for too long, provided that another attempt is allowed. */
     private void watchForSilence(OriginPool.@Nullable PendingRequest watched, TrackedServer server) {
-        long silentMs = forwarder.clock.nowMs() - lastReceivedMs;
+        long silentMs = silentMs();
         long maxSilenceMs = SilenceTimeouts.maxSilenceMs(route, responseWriter.streaming());
         if (ended || pendingRequest == null || pendingRequest != watched || possibleExecutions >= route.maxAttempts()) {
             return;
@@ -310,7 +320,9 @@
     void complete(int status) {
         if (!ended) {
             markEnded();
-            forwarder.responseTimes.record(route.name(), serverMs);
+            if (!pacer.heldUpServer()) {
+                forwarder.responseTimes.record(route.name(), serverMs);
+            }
             forwarder.requestLog.logEnd(this, status, "answered");
         }
     }
@@ -349,10 +361,32 @@
     }
 
     private Optional<TrackedServer> selectServer(Service plainService) {
+        if (isAboutObject()) {
+            return forwarder.serverSelector.selectStickyServer(
+                    candidates(plainService),
+                    triedServerIds,
+                    route.name(),
+                    metadata.affinityKey(),
+                    forwarder.clock.nowMs());
+        }
         return forwarder.serverSelector.selectServer(
                 candidates(plainService), triedServerIds, affinityKey(), forwarder.clock.nowMs());
     }
 
+    /** Returns the parts of the prompt that other requests share; the last part is the request's own. */
+    List<PromptPart> sharedParts() {
+        List<RequestMetadata.PromptPart> parts = metadata.promptParts();
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(part -> new PromptPart(part.id(), part.tokens()))
+                .toList();
+    }
+
+    /** Returns whether some servers may have the object of the request in their cache. */
+    private boolean isAboutObject() {
+        return route.sticky() && !metadata.affinityKey().isEmpty();
+    }
+
     private List<TrackedServer> candidates(Service plainService) {
         return forwarder.servers.byService(plainService.name(), turn.requiredVersion());
     }
@@ -401,9 +435,7 @@
             cancelPendingRequest();
             return;
         }
-        if (pendingRequest != null
-                && currentServer != null
-                && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
+        if (pendingRequest != null && currentServer != null && silentMs() > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.closeIdle(currentServer);
         }
         endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
@@ -495,6 +527,7 @@
         private final TrackedServer server;
         private final int eventsBefore;
         private final int loadAtStart;
+        private final long missingTokens;
         private long firstBodyMs;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
@@ -503,6 +536,10 @@
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
             this.loadAtStart = server.load() - 1;
+            List<PromptPart> shared = sharedParts();
+            this.missingTokens =
+                    metadata.promptTokens() - server.promptCache().heldTokens(shared, forwarder.clock.nowMs());
+            server.promptCache().add(shared, forwarder.clock.nowMs());
             this.eventsBefore = responseWriter.receivedEvents();
         }
 
@@ -534,7 +571,11 @@
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
             if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
-                giveUp("malformed");
+                if (responseWriter.outOfMemory()) {
+                    endUnread("no memory", "too much of all responses is held for their clients");
+                } else {
+                    giveUp("malformed");
+                }
             }
         }
 
@@ -553,6 +594,10 @@
 
         @Override
         public void onFailure(boolean sent) {
+            if (sent && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
                 if (!forwarder.links.prefersPeers(server)) {
@@ -590,7 +635,20 @@
             onResponseLost(server, outcome);
         }
 
+        /** Ends the exchange for a reason that says nothing of the server; it is not sent to another one. */
+        private void endUnread(String outcome, String reason) {
+            if (pendingRequest != null) {
+                pendingRequest.cancel();
+            }
+            endSend(server, outcome);
+            fail(502, reason);
+        }
+
         private void onPassed() {
+            if (!responseWriter.isComplete() && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             if (!responseWriter.isComplete()) {
                 server.recordFailure(forwarder.clock.nowMs());
                 onResponseLost(server, "cut");
@@ -603,7 +661,7 @@
             }
             crashGuard.onAnswered();
             endSend(server, "whole");
-            if (service != null && service.runsEngines() && status < SERVER_ERROR) {
+            if (service != null && service.runsEngines() && status < SERVER_ERROR && !pacer.heldUpServer()) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
             }
             recordSpeed();
@@ -612,26 +670,43 @@
             }
         }
 
-        /** A response through a peer says less about the server, and one that is no success says nothing. */
+        /** Says nothing of a server whose response came through a peer, was held up by its client, or is no success. */
         private void recordSpeed() {
-            if (status / 100 != 2 || service == null || forwarder.links.prefersPeers(server)) {
+            boolean ofServer = !forwarder.links.prefersPeers(server) && !pacer.heldUpServer();
+            if (status / 100 != 2 || service == null || !ofServer) {
                 return;
             }
             long nowMs = forwarder.clock.nowMs();
             long wholeMs = lastReceivedMs - sentMs;
             if (service.runsEngines()) {
+                if (!metadata.promptParts().isEmpty()) {
+                    forwarder
+                            .serverSelector
+                            .prefillTimes()
+                            .record(missingTokens, firstBodyMs / server.speed().slowness(nowMs));
+                }
                 int events = Math.max(0, responseWriter.receivedEvents() - eventsBefore - 1);
                 forwarder.speedLearner.recordEngineResponse(
                         server,
                         route.name(),
                         loadAtStart,
-                        new SpeedLearner.EngineTimes(metadata.promptTokens(), events, firstBodyMs, wholeMs),
+                        new SpeedLearner.EngineTimes(missingTokens, events, firstBodyMs, wholeMs),
                         nowMs);
             } else {
-                forwarder.speedLearner.recordResponse(server, route.name(), loadAtStart, wholeMs, nowMs);
+                String work = isAboutObject() ? route.name() + recordWarmth(service, wholeMs, nowMs) : route.name();
+                forwarder.speedLearner.recordResponse(server, work, loadAtStart, wholeMs, nowMs);
             }
         }
 
+        /** Requests with and without a warm cache are different work. */
+        private CacheAffinity.Warmth recordWarmth(Service plainService, long wholeMs, long nowMs) {
+            return forwarder
+                    .serverSelector
+                    .cacheAffinity()
+                    .recordResponse(
+                            server, candidates(plainService), route.name(), metadata.affinityKey(), wholeMs, nowMs);
+        }
+
         private void onShed() {
             if (status == MISDIRECTED_REQUEST) {
                 server.recordFailure(forwarder.clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -17,6 +17,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
 import org.celerygw.core.gen.peers.CrashSuspect;
@@ -26,8 +27,10 @@
 import org.celerygw.core.gen.peers.QuotaRequest;
 import org.celerygw.core.gen.peers.RelayedCall;
 import org.celerygw.core.gen.peers.RelayedReply;
+import org.celerygw.core.gen.peers.ZoneRoom;
 import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.peers.HostGroup;
 import org.celerygw.core.peers.WaitingCodec;
 import org.celerygw.core.scheduling.QueueLength;
 import org.celerygw.core.servers.ServerList;
@@ -109,6 +112,28 @@
          */
         Map<String, QueueLength> waitingByService();
 
+        /**
+         * Returns the same by precedence, while customers compete.
+         *
+         * @return the numbers by service and precedence; empty unless customers compete
+         */
+        Map<String, Map<Integer, QueueLength>> waitingByPrecedence();
+
+        /**
+         * Returns the work that competing customers have received through this host lately.
+         *
+         * @return slot time in ms by the hash of the customer; often empty, since it is told only now and then
+         */
+        Map<Integer, Double> customerWork();
+
+        /**
+         * Called with the work that customers have received through another host of the group.
+         *
+         * @param peer the other host's name
+         * @param workMs slot time in ms by the hash of the customer
+         */
+        void onCustomerWork(String peer, Map<Integer, Double> workMs);
+
         /**
          * Returns the requests under which servers have crashed, as known to this host.
          *
@@ -154,6 +179,27 @@
          */
         void onPeerConfiguration(long version, boolean storeAnswers);
 
+        /**
+         * Called once per round with the availability zones of the live hosts.
+         *
+         * @param zones the zones
+         */
+        void onHostZones(Set<String> zones);
+
+        /**
+         * Returns the free room of the zones, for hosts of other groups.
+         *
+         * @return the reports, a bounded number
+         */
+        List<ZoneRoom> zoneRooms();
+
+        /**
+         * Called with the free room of zones that another host reports.
+         *
+         * @param rooms the reports
+         */
+        void onZoneRooms(List<ZoneRoom> rooms);
+
         /** Called, once per round, while a live peer reports a newer configuration than this host has. */
         void onNewerConfiguration();
     }
@@ -214,7 +260,8 @@
                 servers,
                 peers,
                 this::localDigest,
-                localState::onGroup,
+                this::anyWaiting,
+                this::onGroup,
                 this::onDigest,
                 permits,
                 quotas);
@@ -231,24 +278,52 @@
         digests.suspectsChanged();
     }
 
+    private boolean anyWaiting() {
+        return !localState.waitingByService().isEmpty()
+                || digests.group().anyMatch(p -> p.digest.getWaitingCount() > 0);
+    }
+
+    private void onGroup(int index, int count) {
+        localState.onGroup(index, count);
+        localState.onHostZones(peers.live()
+                .map(p -> p.digest.getZone())
+                .filter(zone -> !zone.isEmpty())
+                .collect(Collectors.toSet()));
+    }
+
     private void onDigest(Digest digest) {
         if (digest.getConfigVersion() > 0) {
             localState.onPeerConfiguration(digest.getConfigVersion(), digest.getStoreAnswers());
         }
         localState.startedElsewhere(digest.getStartedList());
         localState.onCrashSuspects(digest.getHost(), digest.getSuspectsList());
+        localState.onZoneRooms(digest.getZoneRoomList());
+        if (digest.getCustomerWorkCount() > 0 && isInGroup(digest.getHost())) {
+            localState.onCustomerWork(digest.getHost(), WaitingCodec.decodeWork(digest.getCustomerWorkList()));
+        }
+    }
+
+    private boolean isInGroup(String peer) {
+        return digests.group().anyMatch(p -> p.digest.getHost().equals(peer));
+    }
+
+    /** In a small fleet, each host knows the load of each server. */
+    private boolean isLargeFleet() {
+        return peers.live().count() >= HostGroup.MAX_HOSTS;
     }
 
-    private Digest.Builder localDigest(boolean withSuspects) {
+    private Digest.Builder localDigest(boolean inRound) {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
                 .setStoreMs(health.smoothedLatencyMs())
                 .setLeaving(localState.leaving())
                 .setCutOff(localState.cutOff())
-                .putAllWaiting(WaitingCodec.encode(localState.waitingByService()))
+                .putAllWaiting(WaitingCodec.encode(localState.waitingByService(), localState.waitingByPrecedence()))
+                .addAllCustomerWork(WaitingCodec.encodeWork(localState.customerWork()))
                 .addAllStarted(localState.recentlyStarted())
-                .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of());
+                .addAllSuspects(inRound ? localState.crashSuspects() : List.of())
+                .addAllZoneRoom(inRound && isLargeFleet() ? localState.zoneRooms() : List.of());
     }
 
     /**
@@ -270,6 +345,16 @@
         return WaitingCodec.sum(digests.group().map(p -> p.digest), service);
     }
 
+    /**
+     * Returns the same by precedence.
+     *
+     * @param service the service's name
+     * @return the number of requests by precedence, as last reported
+     */
+    public Map<Integer, QueueLength> waitingAtPeersByPrecedence(String service) {
+        return WaitingCodec.sumByPrecedence(digests.group().map(p -> p.digest), service);
+    }
+
     /**
      * Returns tables that call the partitions directly, or through a peer when the store does not answer this host in time.
      *
@@ -325,13 +410,16 @@
     }
 
     /**
-     * Reads all rows of a feed from a peer.
+     * Reads all rows of a feed from a peer, one of those with the newest configuration.
      *
      * @param name the feed's name
      * @param callback called with the rows as last received by that peer; with status FAILED when no peer answers
      */
     public void readFeed(String name, Consumer<RowFeed.Result> callback) {
+        long newestVersion =
+                relayPeers().mapToLong(p -> p.digest.getConfigVersion()).max().orElse(0);
         relay(
+                relayPeers().filter(p -> p.digest.getConfigVersion() == newestVersion),
                 RelayedCall.newBuilder().setFeed(name).build(),
                 reply -> callback.accept(reply.filter(RelayedReply::hasFeed)
                         .map(RelayedReply::getFeed)
@@ -430,10 +518,16 @@
 
     /** Relays a store call through a live peer that the store answers, chosen round-robin. */
     void relay(RelayedCall call, Consumer<Optional<RelayedReply>> callback) {
-        List<Peer> candidates = peers.live()
-                .filter(p -> p.digest.getStoreAnswers() && !p.digest.getLeaving())
-                .sorted(Comparator.comparing(p -> p.digest.getHost()))
-                .toList();
+        relay(relayPeers(), call, callback);
+    }
+
+    private Stream<Peer> relayPeers() {
+        return peers.live().filter(p -> p.digest.getStoreAnswers() && !p.digest.getLeaving());
+    }
+
+    private void relay(Stream<Peer> through, RelayedCall call, Consumer<Optional<RelayedReply>> callback) {
+        List<Peer> candidates =
+                through.sorted(Comparator.comparing(p -> p.digest.getHost())).toList();
         if (candidates.isEmpty()) {
             callback.accept(Optional.empty());
             return;
--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -82,6 +82,7 @@
                 servers,
                 new PeerTable(loop, clock, host),
                 withSuspects -> Digest.newBuilder(),
+                () -> false,
                 (index, count) -> {},
                 this::onDigest,
                 permits,
