--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -38,6 +38,9 @@
 
     private static final long ELSEWHERE_MS = 100;
     private static final int MAX_KEEPERS_ASKED = 3;
+    /** Requests far below the limit go on while another host takes over the account, which costs one message. */
+    private static final int MAX_LOST = 2;
+
     private static final long NOTICE_MS = 2_000;
     /** Longer than the time between two notices, so that one lost notice does not end the constraint. */
     private static final long CONSTRAINED_MS = 5_000;
@@ -47,6 +50,10 @@
     private static final long ACTIVE_MS = 5_000;
     /** A host that ran nothing for this long may have been replaced as the account's host. */
     private static final long PAUSE_MS = 600;
+    /** After such a pause, messages arrive that their senders have sent to another host meanwhile. */
+    private static final long DRAIN_MS = 50;
+    /** When a request may come back that was refused while another host takes over an account. */
+    private static final long TAKEOVER_MS = 300;
     /** The time until the account's host has noticed that others do not reach it. */
     private static final long ISOLATION_MS = 3_000;
     /** Until this long after a host was lost or started, another one may have kept an account. */
@@ -68,6 +75,9 @@
     private final Map<String, CustomerLease> leases = new LruMap<>();
     private final Map<String, QuotaAccount> accounts = new LruMap<>();
     private final Map<String, Optional<String>> keepers = new LruMap<>();
+    /** Answers to messages that may arrive again. */
+    private final Map<Long, QuotaReply> answered = new LruMap<>();
+
     private final Map<Long, Sent> sent = new HashMap<>();
     private long nextRequestId;
     private long enteredMs;
@@ -78,6 +88,7 @@
     private int nextPing;
     private int nextSilent;
     private long lossMs;
+    private long resumedMs = Long.MIN_VALUE / 2;
     private boolean ticking;
     private long lostReplies;
 
@@ -152,7 +163,7 @@
     private record Sent(String host, long sentMs, ReplyHandler handler) {}
 
     /** A map that forgets the entry that was not used for longest. */
-    private static final class LruMap<V> extends LinkedHashMap<String, V> {
+    private static final class LruMap<K, V> extends LinkedHashMap<K, V> {
         private static final long serialVersionUID = 1;
 
         LruMap() {
@@ -160,7 +171,7 @@
         }
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
             return size() > MAX_CUSTOMERS;
         }
     }
@@ -182,8 +193,8 @@
         this.network = network;
         this.order = new KeeperOrder(host, network::hosts, clock.nowMs());
         this.enteredMs = clock.nowMs();
-        // Replies to an earlier process of this host must not match.
-        this.nextRequestId = clock.nowMs() << 20;
+        // Differs from that of other hosts and of an earlier process of this host.
+        this.nextRequestId = KeeperOrder.weight(Long.toString(clock.nowMs()), host);
     }
 
     /**
@@ -250,10 +261,16 @@
         long nowMs = enter();
         String customer = request.getCustomer();
         QuotaReply elsewhere = QuotaReply.newBuilder().setId(request.getId()).build();
-        Optional<String> keeper = customer.isEmpty() || !isValid(request) ? Optional.empty() : firstKeeper(customer);
+        QuotaReply before = answered.get(request.getId());
+        if (before != null) {
+            callback.accept(before);
+            return;
+        }
+        boolean stale = customer.isEmpty() || !isValid(request) || nowMs < resumedMs + DRAIN_MS;
+        Optional<String> keeper = stale ? Optional.empty() : firstKeeper(customer);
         if (keeper.equals(Optional.of(host))) {
             QuotaAccount account = account(customer, limitOf(request), request.getConfigVersion(), nowMs);
-            callback.accept(serve(
+            QuotaReply reply = serve(
                             customer,
                             account,
                             request.getUsedTokens(),
@@ -261,7 +278,9 @@
                             request.getWantedTokens(),
                             nowMs)
                     .setId(request.getId())
-                    .build());
+                    .build();
+            answered.put(request.getId(), reply);
+            callback.accept(reply);
         } else if (keeper.isPresent() && !request.getForwarded()) {
             accounts.remove(customer);
             forward(keeper.get(), request, callback, elsewhere);
@@ -418,9 +437,13 @@
         return request.getLimitPerS() > 0
                 && request.getBurst() >= 0
                 && request.getBurst() < Double.POSITIVE_INFINITY
-                && request.getUsedTokens() >= 0
-                && request.getReturnedTokens() >= 0
-                && request.getWantedTokens() >= 0;
+                && isCount(request.getUsedTokens())
+                && isCount(request.getReturnedTokens())
+                && isCount(request.getWantedTokens());
+    }
+
+    private static boolean isCount(double tokens) {
+        return tokens >= 0 && tokens < Double.POSITIVE_INFINITY;
     }
 
     private static RateLimit limitOf(QuotaRequest request) {
@@ -440,7 +463,7 @@
         }
         double excess = bounds.excess(lease.limit);
         boolean reached =
-                lease.lostRequests == 0 && (lease.acknowledged || !order.hasSilentBefore(customer, keeper.get()));
+                lease.lostRequests < MAX_LOST && (lease.acknowledged || !order.hasSilentBefore(customer, keeper.get()));
         double mostTokens = reached ? Math.max(1, excess / 8) : Math.floor(excess / 2 / order.size());
         return lease.unacknowledgedTokens + 1 <= mostTokens;
     }
@@ -465,9 +488,10 @@
         if (!lease.sharing) {
             lease.beginShare(phase(customer), nowMs + ISOLATION_MS);
         }
+        long retryMs = firstKeeper(customer).isPresent() ? TAKEOVER_MS : bounds.windowMs();
         return lease.takeShare(perS, nowMs)
                 ? Decision.GRANTED
-                : new Decision(false, Math.min(bounds.windowMs(), lease.shareWaitMs(perS, nowMs)), 0, host);
+                : new Decision(false, Math.min(retryMs, lease.shareWaitMs(perS, nowMs)), 0, host);
     }
 
     /** Returns a number in [0, 1) that differs between hosts. */
@@ -566,8 +590,9 @@
         lease.accountAgeMs = reply.getAccountAgeMs();
         lease.decidedBy = keeper;
         if (reply.getConstrained()) {
+            double granted = isCount(reply.getGrantedTokens()) ? reply.getGrantedTokens() : 0;
             lease.constrainedUntilMs = nowMs + CONSTRAINED_MS;
-            lease.hold(reply.getGrantedTokens(), askedMs + Math.min(VALIDITY_MS, reply.getValidityMs()), nowMs);
+            lease.hold(granted, askedMs + Math.min(VALIDITY_MS, reply.getValidityMs()), nowMs);
             scheduleReturn(customer, lease);
             if (reply.getRetryAfterMs() > 0) {
                 lease.retryAtMs = nowMs + reply.getRetryAfterMs();
@@ -703,6 +728,7 @@
 
     /** Other hosts may have kept the accounts meanwhile; granted tokens may count as returned. */
     private void onPause(long nowMs) {
+        resumedMs = nowMs;
         accounts.forEach((customer, account) -> {
             account.skip(nowMs);
             announceTo(customer);
@@ -730,10 +756,9 @@
         reach.nextRound();
         List<String> silent = order.silent(nowMs);
         if (!silent.isEmpty()) {
-            send(
+            sendRepeatedly(
                     silent.get(Math.floorMod(nextSilent++, silent.size())),
                     QuotaRequest.newBuilder(),
-                    REPLY_TIMEOUT_MS,
                     ReplyHandler.NONE);
         }
         if (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS) {
@@ -758,7 +783,7 @@
 
     private void ping(String other) {
         int round = reach.round();
-        send(other, QuotaRequest.newBuilder(), REPLY_TIMEOUT_MS, new ReplyHandler() {
+        sendRepeatedly(other, QuotaRequest.newBuilder(), new ReplyHandler() {
             @Override
             public void onReply(QuotaReply reply) {
                 reach.countAnswered(round);
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -14,11 +14,15 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.celerygw.core.gen.peers.CrashSuspect;
 import org.celerygw.core.gen.peers.PermitRequest;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
 import org.celerygw.core.gen.peers.ZoneRoom;
+import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.limits.Permits;
+import org.celerygw.core.limits.QuotaBounds;
+import org.celerygw.core.peers.FeedWait;
 import org.celerygw.core.peers.ZoneRoomCodec;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
@@ -70,8 +74,10 @@
     private static final String SERVER_FEED = "servers";
     private static final long CONFIG_POLL_INTERVAL_MS = 100;
     private static final long MIN_SERVER_POLL_INTERVAL_MS = 400;
-    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_000;
-    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 20;
+    /** A draining server must be known within 2 s; the store's answer and a repeated read take the rest. */
+    private static final long MAX_SERVER_POLL_INTERVAL_MS = 1_500;
+
+    private static final long SERVER_POLL_INTERVAL_MS_PER_HOST = 30;
     private static final long CLEANUP_INTERVAL_MS = 30_000;
     private static final long SWEEP_INTERVAL_MS = 500;
     private static final long MAX_REQUEST_READ_MS = 5_000;
@@ -83,6 +89,7 @@
     private final Scheduler scheduler;
     private final ServerList servers;
     private final Permits permits;
+    private final CustomerQuotas quotas;
     private final Quarantine quarantine;
     private final ServerSelector serverSelector;
     private final OriginPools originPools;
@@ -130,16 +137,15 @@
         this.servers = new ServerList(originPools::remove, this::logReturn);
         this.quarantine = new Quarantine(settings.host());
         this.permits = new Permits(settings.host(), clock, scheduler, servers, new PermitNetwork());
+        this.quotas = createQuotas();
         this.serverSelector = new ServerSelector(settings.zone(), permits::request);
         PrometheusRegistry registry = new PrometheusRegistry();
         this.metrics = new Metrics(registry, this);
         StoreHealth health = new StoreHealth(clock);
         this.configFreshness = createFreshness(settings.customerBounds());
         this.configurationWatch = createConfigurationWatch(health);
-        this.serverWatch = createWatch(adapter.serverFeed(), health, this::serverPollIntervalMs, new ServerListener());
-        List<Table> partitions = adapter.partitions(settings.partitions()).stream()
-                .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
-                .toList();
+        this.serverWatch = createServerWatch(health);
+        List<Table> partitions = meteredPartitions();
         Dialect dialect = adapter.dialect();
         this.links = new ServerLinks(clock, scheduler, dialect, servers, originPools, this::serverRelays);
         this.serverRelay = new ServerRelay(links, servers, scheduler);
@@ -160,6 +166,7 @@
                 health,
                 new PeersLocalState(),
                 permits,
+                quotas,
                 serverRelay);
         configurationWatch.setPeerSource(callback -> peers.readFeed(CONFIGURATION_FEED, callback));
         serverWatch.setPeerSource(callback -> peers.readFeed(SERVER_FEED, callback));
@@ -171,12 +178,10 @@
                 settings.maxRowBytes(),
                 PROGRAM_CACHE_BYTES);
         metrics.registerPeersAndPrograms(peers, programStore);
-        this.engineQueue =
-                new EngineQueue(servers, serverSelector, peers::waitingAtPeers, () -> ThreadLocalRandom.current()
-                        .nextDouble());
+        this.engineQueue = createEngineQueue();
         metrics.registerQueue(engineQueue);
         metrics.registerLinks(links, originPools);
-        metrics.registerServerProtection(servers, permits, quarantine, clock);
+        metrics.registerServerProtection(servers, permits, quotas, quarantine, clock);
         metrics.registerServerSpeeds(servers, clock);
         this.forwarder = new Forwarder(
                 clock,
@@ -191,15 +196,33 @@
                 links,
                 programStore,
                 quarantine,
+                quotas,
                 new RequestLog(registry),
                 peers::loadChanged,
-                peers::suspectsChanged);
+                peers::suspectsChanged,
+                (long) settings.memoryMb() << 20);
         this.cleaner =
                 new ExpiredProgramCleaner(partitions, clock, settings.host().hashCode());
         configurationWatch.start();
         serverWatch.start();
     }
 
+    private CustomerQuotas createQuotas() {
+        GatewaySettings.CustomerBounds bounds = settings.customerBounds();
+        return new CustomerQuotas(
+                settings.host(),
+                clock,
+                scheduler,
+                new QuotaBounds(bounds.quotaWindowMs(), bounds.quotaOverage(), bounds.quotaSlack()),
+                new QuotaNetwork());
+    }
+
+    private List<Table> meteredPartitions() {
+        return adapter.partitions(settings.partitions()).stream()
+                .map(t -> (Table) new MeteredTable(t, clock, metrics::recordStoreCall))
+                .toList();
+    }
+
     private List<OriginPool> serverRelays() {
         return peers.serverRelays();
     }
@@ -209,12 +232,15 @@
     }
 
     private Watch createConfigurationWatch(StoreHealth health) {
-        RowFeed feed = new ConfirmingFeed(adapter.configurationFeed(), clock, configFreshness);
-        return createWatch(feed, health, () -> CONFIG_POLL_INTERVAL_MS, new ConfigListener());
+        RowFeed confirming = new ConfirmingFeed(adapter.configurationFeed(), clock, configFreshness);
+        RowFeed feed = new HealthTrackingFeed(confirming, health);
+        return new Watch(
+                feed, clock, scheduler, () -> CONFIG_POLL_INTERVAL_MS, this::configurationWaitMs, new ConfigListener());
     }
 
-    private Watch createWatch(RowFeed feed, StoreHealth health, LongSupplier pollIntervalMs, Watch.Listener listener) {
-        return new Watch(new HealthTrackingFeed(feed, health), clock, scheduler, pollIntervalMs, listener);
+    private Watch createServerWatch(StoreHealth health) {
+        RowFeed feed = new HealthTrackingFeed(adapter.serverFeed(), health);
+        return new Watch(feed, clock, scheduler, this::serverPollIntervalMs, new ServerListener());
     }
 
     /**
@@ -234,7 +260,6 @@
                 if (r.succeeded()) {
                     gateway.sweep();
                     gateway.cleanUp();
-                    gateway.links.start();
                     LOG.atInfo()
                             .addKeyValue("host", settings.host())
                             .addKeyValue("zone", settings.zone())
@@ -315,6 +340,15 @@
         return Math.max(MIN_SERVER_POLL_INTERVAL_MS, Math.min(MAX_SERVER_POLL_INTERVAL_MS, intervalMs));
     }
 
+    /** A host that serves customers must know soon that its configuration is the newest: their keys may be withdrawn. */
+    private long configurationWaitMs() {
+        boolean hasKeys = routes != null && routes.customers().requiresKeys();
+        boolean mustConfirm = hasKeys || settings.customerBounds().strictRevocation();
+        long confirmWithinMs = mustConfirm ? settings.customerBounds().revokeMs() : Long.MAX_VALUE;
+        return FeedWait.nextMs(1 + livePeers(), confirmWithinMs, () -> ThreadLocalRandom.current()
+                .nextDouble());
+    }
+
     private Future<Void> listen() {
         GatewaySettings.Address clientAddress = settings.clientAddress();
         GatewaySettings.Address readinessAddress = settings.readinessAddress();
@@ -387,6 +421,15 @@
         }
     }
 
+    private EngineQueue createEngineQueue() {
+        return new EngineQueue(
+                servers,
+                serverSelector,
+                peers::waitingAtPeers,
+                peers::waitingAtPeersByPrecedence,
+                () -> ThreadLocalRandom.current().nextDouble());
+    }
+
     private void logReturn(TrackedServer server) {
         LOG.atInfo()
                 .addKeyValue("server", server.entry().id())
@@ -411,6 +454,21 @@
             return engineQueue.waitingByService();
         }
 
+        @Override
+        public Map<String, Map<Integer, QueueLength>> waitingByPrecedence() {
+            return engineQueue.waitingByPrecedence(clock.nowMs());
+        }
+
+        @Override
+        public Map<Integer, Double> customerWork() {
+            return engineQueue.customerWork(clock.nowMs());
+        }
+
+        @Override
+        public void onCustomerWork(String peer, Map<Integer, Double> workMs) {
+            engineQueue.customerWorkElsewhere(peer, workMs, clock.nowMs());
+        }
+
         @Override
         public List<Integer> recentlyStarted() {
             return engineQueue.recentlyStarted(clock.nowMs());
@@ -449,6 +507,11 @@
             serverSelector.setGroup(index, count);
         }
 
+        @Override
+        public void onPeerConfiguration(long version, boolean storeAnswers) {
+            configFreshness.recordPeer(version, storeAnswers, configVersion(), clock.nowMs());
+        }
+
         @Override
         public void onHostZones(Set<String> zones) {
             serverSelector.setHostZones(zones);
@@ -471,11 +534,6 @@
             ZoneRoomCodec.apply(rooms, serverSelector.zoneRooms(), clock.nowMs());
         }
 
-        @Override
-        public void onPeerConfiguration(long version, boolean storeAnswers) {
-            configFreshness.recordPeer(version, storeAnswers, configVersion(), clock.nowMs());
-        }
-
         @Override
         public void onNewerConfiguration() {
             configurationWatch.readFromPeer();
@@ -505,6 +563,34 @@
         }
     }
 
+    /** Reaches the hosts that keep the accounts of customers' quotas. */
+    private final class QuotaNetwork implements CustomerQuotas.Network {
+        @Override
+        public Collection<String> hosts() {
+            return peers.grantingHosts();
+        }
+
+        @Override
+        public boolean mayKeep() {
+            return !stopping && peers.knowsHosts();
+        }
+
+        @Override
+        public void send(String host, QuotaRequest request) {
+            peers.sendQuotaRequest(host, request);
+        }
+
+        @Override
+        public void sendNotice(String host, QuotaReply notice) {
+            peers.sendQuotaNotice(host, notice);
+        }
+
+        @Override
+        public void announce(String host) {
+            peers.sendDigest(host);
+        }
+    }
+
     /** Applies configurations whose version is newer than the current one. */
     private final class ConfigListener implements Watch.Listener {
         private final RowDecoder<RouteTable> configurationRows = new RowDecoder<>(
@@ -549,6 +635,8 @@
                     .addKeyValue("configVersion", newRoutes.version())
                     .addKeyValue("problem", problem)
                     .log("config: a customer's entry cannot be used as it is"));
+            // Hosts whose connection to the store has gone silent learn of the version from digests.
+            peers.loadChanged();
             clientListeners().forEach(l -> l.maxBodyBytes(newRoutes.limits().maxBodyBytes()));
             logReadinessChange();
         }
@@ -561,6 +649,11 @@
 
         @Override
         public void onSnapshot(List<Row> rows) {
+            if (serversKnown) {
+                // A snapshot follows a failure, and the long poll of the configuration may wait on a dead connection
+                // too.
+                configurationWatch.reread();
+            }
             serversKnown = true;
             servers.replaceAll(
                     rows.stream().flatMap(r -> serverRows.decode(r).stream()).toList(), clock.nowMs());
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -50,8 +50,10 @@
     final RouteTable routes;
     final @Nullable Service service;
     private final Optional<Customer> customer;
+    final ReadPacer pacer;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
+    private final QuotaTokens quotaTokens;
     private final long timeoutMs;
     private final long deadlineMs;
     private final Set<String> triedServerIds = new HashSet<>();
@@ -90,6 +92,8 @@
                 metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
         this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
+        this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
+        this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
         this.turn = new ProgramTurn(this);
         this.responseWriter = new ResponseWriter(this, turn);
     }
@@ -97,7 +101,15 @@
     void start() {
         forwarder.scheduler.schedule(Math.max(1, remainingMs()), this::onDeadline);
         clientResponse.onClientDisconnect(this::onClientDisconnect);
-        crashGuard.refusal().ifPresentOrElse(this::refuse, turn::prepare);
+        crashGuard.refusal().ifPresentOrElse(this::refuse, () -> quotaTokens.acquire(this::prepareTurn, this::refuse));
+    }
+
+    private void prepareTurn() {
+        if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
+        } else {
+            turn.prepare();
+        }
     }
 
     long remainingMs() {
@@ -248,15 +260,21 @@
                 Math.max(1, remainingMs()),
                 maxConnectionIdleMs(),
                 new BackendResponseHandler(server));
+        pacer.begin(pendingRequest);
         earlierRequests = pendingRequest.earlierRequests();
         if (route.repeatable()) {
             watchForSilence(pendingRequest, server);
         }
     }
 
+    /** Returns for how long the server has sent nothing although it was read, in ms. */
+    private long silentMs() {
+        return pacer.isPaused() ? 0 : forwarder.clock.nowMs() - Math.max(lastReceivedMs, pacer.readingSinceMs());
+    }
+
     /** Cancels the send when its server is silent for too long, provided that another attempt is allowed. */
     private void watchForSilence(OriginPool.@Nullable PendingRequest watched, TrackedServer server) {
-        long silentMs = forwarder.clock.nowMs() - lastReceivedMs;
+        long silentMs = silentMs();
         long maxSilenceMs = SilenceTimeouts.maxSilenceMs(route, responseWriter.streaming());
         if (ended || pendingRequest == null || pendingRequest != watched || possibleExecutions >= route.maxAttempts()) {
             return;
@@ -302,7 +320,9 @@
     void complete(int status) {
         if (!ended) {
             markEnded();
-            forwarder.responseTimes.record(route.name(), serverMs);
+            if (!pacer.heldUpServer()) {
+                forwarder.responseTimes.record(route.name(), serverMs);
+            }
             forwarder.requestLog.logEnd(this, status, "answered");
         }
     }
@@ -320,6 +340,7 @@
 
     private void markEnded() {
         ended = true;
+        quotaTokens.releaseUnused(possibleExecutions);
         responseWriter.releaseWhenSent();
         if (engineWait != null) {
             engineWait.cancel();
@@ -414,9 +435,7 @@
             cancelPendingRequest();
             return;
         }
-        if (pendingRequest != null
-                && currentServer != null
-                && forwarder.clock.nowMs() - lastReceivedMs > SilenceTimeouts.STREAM_MS) {
+        if (pendingRequest != null && currentServer != null && silentMs() > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.closeIdle(currentServer);
         }
         endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
@@ -464,6 +483,7 @@
         endSend(server, outcome);
         possibleExecutions--;
         if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
             return;
         }
         triedServerIds.add(server.entry().id());
@@ -481,12 +501,20 @@
         if (route.repeatable()
                 && possibleExecutions < route.maxAttempts()
                 && remainingMs() > MIN_REMAINING_TO_SEND_MS) {
-            send();
+            quotaTokens.acquire(this::resend, refusal -> fail(502, refusal.reason()));
         } else {
             fail(502, "no complete response from the backend server");
         }
     }
 
+    private void resend() {
+        if (ended) {
+            quotaTokens.releaseUnused(possibleExecutions);
+        } else {
+            send();
+        }
+    }
+
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
         serverMs += forwarder.clock.nowMs() - sentMs;
@@ -543,7 +571,11 @@
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
             if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
-                giveUp("malformed");
+                if (responseWriter.outOfMemory()) {
+                    endUnread("no memory", "too much of all responses is held for their clients");
+                } else {
+                    giveUp("malformed");
+                }
             }
         }
 
@@ -562,6 +594,10 @@
 
         @Override
         public void onFailure(boolean sent) {
+            if (sent && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             server.recordFailure(forwarder.clock.nowMs());
             if (sent) {
                 if (!forwarder.links.prefersPeers(server)) {
@@ -599,7 +635,20 @@
             onResponseLost(server, outcome);
         }
 
+        /** Ends the exchange for a reason that says nothing of the server; it is not sent to another one. */
+        private void endUnread(String outcome, String reason) {
+            if (pendingRequest != null) {
+                pendingRequest.cancel();
+            }
+            endSend(server, outcome);
+            fail(502, reason);
+        }
+
         private void onPassed() {
+            if (!responseWriter.isComplete() && pacer.heldUpServer()) {
+                endUnread("unread", "the client took the response too slowly");
+                return;
+            }
             if (!responseWriter.isComplete()) {
                 server.recordFailure(forwarder.clock.nowMs());
                 onResponseLost(server, "cut");
@@ -612,7 +661,7 @@
             }
             crashGuard.onAnswered();
             endSend(server, "whole");
-            if (service != null && service.runsEngines() && status < SERVER_ERROR) {
+            if (service != null && service.runsEngines() && status < SERVER_ERROR && !pacer.heldUpServer()) {
                 forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
             }
             recordSpeed();
@@ -621,9 +670,10 @@
             }
         }
 
-        /** A response through a peer says less about the server, and one that is no success says nothing. */
+        /** Says nothing of a server whose response came through a peer, was held up by its client, or is no success. */
         private void recordSpeed() {
-            if (status / 100 != 2 || service == null || forwarder.links.prefersPeers(server)) {
+            boolean ofServer = !forwarder.links.prefersPeers(server) && !pacer.heldUpServer();
+            if (status / 100 != 2 || service == null || !ofServer) {
                 return;
             }
             long nowMs = forwarder.clock.nowMs();
--- a/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/OriginChannel.java
@@ -39,7 +39,10 @@
     /** What a part of a body costs beside its bytes, so that a response has a bounded number of them. */
     private static final int PART_OVERHEAD_BYTES = 64;
 
-    private static final int MAX_COLLECTED_BYTES = 65_536;
+    /** Servers state whole seconds, which may be rounded up; the rest is for the request's way. */
+    private static final long STATED_TIMEOUT_MARGIN_MS = 1_250;
+    /** As much as one read, so that a response can be paused after each of them. */
+    private static final int MAX_COLLECTED_BYTES = 16_384;
 
     private final OriginPool pool;
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
@@ -47,7 +50,7 @@
     private @Nullable Exchange pending;
     private @Nullable ChannelFuture writeFuture;
     /** Body parts of the present read, which are passed on together: they may be as short as one byte. */
-    private final ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
+    private ByteArrayOutputStream collectedBody = new ByteArrayOutputStream();
 
     private @Nullable SplicedBodyDetector splicedBody;
     private boolean skippingResponse;
@@ -96,6 +99,13 @@
             }
         }
 
+        @Override
+        public void setReading(boolean reading) {
+            if (!finished) {
+                channel.setReading(reading);
+            }
+        }
+
         @Override
         public int earlierRequests() {
             return earlierRequests;
@@ -146,6 +156,12 @@
         ChannelActions.close(ctx);
     }
 
+    private void setReading(boolean reading) {
+        if (ctx != null) {
+            ctx.channel().config().setAutoRead(reading);
+        }
+    }
+
     void onConnectFailure() {
         closed = true;
         fail();
@@ -160,11 +176,20 @@
     }
 
     /**
-     * Returns how long the connection may stay idle, in ms: at most the given limit, and well below the time-out in the
-     * server's Keep-Alive header (60 percent of it).
+     * Returns how long the connection may stay idle, in ms: below the time-out in the server's Keep-Alive header by a
+     * margin, or for short time-outs 60 percent of it.
      */
-    long maxIdleMs(long ownLimitMs) {
-        return Math.min(ownLimitMs, serverKeepAliveMs / 10 * 6);
+    long maxIdleMs(OriginPool.Limits limits) {
+        if (serverKeepAliveMs == Long.MAX_VALUE) {
+            return limits.maxIdleMs();
+        }
+        long keptMs = Math.max(serverKeepAliveMs - STATED_TIMEOUT_MARGIN_MS, serverKeepAliveMs / 10 * 6);
+        return Math.min(limits.maxStatedIdleMs(), keptMs);
+    }
+
+    /** Returns the time-out in the server's Keep-Alive header, in ms; 0 if it states none. */
+    long statedTimeoutMs() {
+        return serverKeepAliveMs == Long.MAX_VALUE ? 0 : serverKeepAliveMs;
     }
 
     /**
@@ -231,6 +256,8 @@
         passOnBody();
         if (responseComplete && pending == null) {
             responseComplete = false;
+            // An idle connection is read, so that its end is noticed.
+            setReading(true);
             boolean beyondResponse = decoder.holdsPartOfMessage();
             if (beyondResponse) {
                 reportUnassigned("beginning of a response after a response");
@@ -367,7 +394,8 @@
             return;
         }
         byte[] bytes = collectedBody.toByteArray();
-        collectedBody.reset();
+        // Not reset, which would keep a buffer of the largest part for as long as the connection is open.
+        collectedBody = new ByteArrayOutputStream();
         if (splicedBody != null) {
             splicedBody.add(bytes);
         }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -13,11 +13,16 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.celerygw.core.gen.peers.QuotaReply;
+import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.limits.CustomerQuotas;
+import org.celerygw.core.limits.QuotaBounds;
 import org.celerygw.core.quarantine.Quarantine;
 import org.celerygw.core.routes.ConfigFreshness;
 import org.celerygw.core.routes.CustomerDirectory;
@@ -50,9 +55,10 @@
     static final int ENGINE_ROOM = ENGINE_SLOTS + 1;
 
     private MultiThreadIoEventLoopGroup group;
-    private EventLoop loop;
+    EventLoop loop;
     HttpListener listener;
-    private ServerList servers;
+    Forwarder forwarder;
+    ServerList servers;
     private List<Table> partitions;
     Faults storeFaults;
     final MonotonicClock clock = new MonotonicClock();
@@ -91,7 +97,7 @@
         routes = routeTable(CustomerDirectory.EMPTY);
         freshness = new ConfigFreshness(5_000, false);
         ServerSelector serverSelector = new ServerSelector("z", server -> {});
-        Forwarder forwarder = new Forwarder(
+        forwarder = new Forwarder(
                 clock,
                 scheduler,
                 new TestDialect(),
@@ -104,9 +110,11 @@
                 new ServerLinks(clock, scheduler, new TestDialect(), servers, originPools, PeerRoute.NONE),
                 new ProgramStore(partitions, "host" + hostCount++, clock, scheduler, 60_000, 1_000_000),
                 new Quarantine("host"),
+                new CustomerQuotas("host", clock, scheduler, new QuotaBounds(5_000, 0.1, 0), new OnlyHost()),
                 new RequestLog(new PrometheusRegistry()),
                 () -> {},
-                () -> {});
+                () -> {},
+                256L << 20);
         CountDownLatch listening = new CountDownLatch(1);
         HttpListener.start(loop, clock, "127.0.0.1", 0, forwarder).onSuccess(l -> {
             listener = l;
@@ -150,7 +158,7 @@
                 customers);
     }
 
-    private static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
+    static Route route(String prefix, RouteKind kind, long timeoutMs, boolean resumable, boolean storesTurns) {
         return new Route(
                 prefix,
                 "h",
@@ -273,4 +281,26 @@
     static void writeChunk(OutputStream out, String text) throws IOException {
         out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
+
+    /** A host without others. */
+    private static final class OnlyHost implements CustomerQuotas.Network {
+        @Override
+        public Collection<String> hosts() {
+            return List.of();
+        }
+
+        @Override
+        public boolean mayKeep() {
+            return true;
+        }
+
+        @Override
+        public void send(String host, QuotaRequest request) {}
+
+        @Override
+        public void sendNotice(String host, QuotaReply notice) {}
+
+        @Override
+        public void announce(String host) {}
+    }
 }
