Mend what a first reading of the change showed in quotas, affinity and digests

Cause: a reader of the diff found that a returned token could turn a request into a refusal with nothing to wait for, that a host which passes a request on booked its repetitions as well, that replies to pings kept pings going, that later grants prolonged earlier ones, that a host which may keep accounts again took old ones for its own, that equal servers of a key were not taken by turns, that recording a response changed the servers of a key, and that a send could end with another size than it began with.

Change: each of these; QuotaMessages holds the messages without a reply, which CustomerQuotas held beside its accounts and leases; comments that were unclear say what is meant.

--- a/core/src/main/java/org/celerygw/core/limits/CustomerLease.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerLease.java
@@ -44,7 +44,7 @@
     private double shareTokens;
     private long shareMs;
 
-    /** A request that waits, and the time by which it is decided. */
+    /** A waiting request and the time since which it waits, in ms. */
     record Waiting(Consumer<CustomerQuotas.Decision> callback, long sinceMs) {}
 
     /** Counts a request for the estimate of the demand. */
@@ -74,8 +74,10 @@
     }
 
     void hold(double tokens, long untilMs, long nowMs) {
-        heldTokens = heldTokens(nowMs) + tokens;
-        heldUntilMs = untilMs;
+        double before = heldTokens(nowMs);
+        heldTokens = before + tokens;
+        // Tokens of an earlier grant must not live longer because of a later one.
+        heldUntilMs = before > 0 ? Math.min(heldUntilMs, untilMs) : untilMs;
     }
 
     /** Drops the granted tokens; they are not returned, since another host may keep the account by now. */
--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -1,10 +1,11 @@
 package org.celerygw.core.limits;
 
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.celerygw.core.gen.peers.QuotaReply;
 import org.celerygw.core.gen.peers.QuotaRequest;
@@ -28,10 +29,6 @@
 
     private static final long BATCH_MS = 25;
     private static final long PREFETCH_MS = 50;
-    private static final long REPLY_TIMEOUT_MS = 85;
-    /** A lost message does not let requests wait for the whole time-out. */
-    private static final long REPEAT_MS = 30;
-
     /** Shorter than the time-out of the host that asked, so that it learns which of the two hosts is silent. */
     private static final long FORWARD_TIMEOUT_MS = 40;
 
@@ -77,8 +74,10 @@
     /** Answers to messages that may arrive again. */
     private final Map<Long, QuotaReply> answered = new LruMap<>(MAX_CUSTOMERS);
 
-    private final Map<Long, Sent> sent = new HashMap<>();
-    private long nextRequestId;
+    /** Ids of requests that were passed on to the account's host and are not answered yet. */
+    private final Set<Long> forwarding = new HashSet<>();
+
+    private final QuotaMessages messages;
     private long enteredMs;
     private long usedMs;
     private long constrainedMs = Long.MIN_VALUE / 2;
@@ -89,7 +88,6 @@
     private long lossMs;
     private long resumedMs = Long.MIN_VALUE / 2;
     private boolean ticking;
-    private long lostReplies;
 
     /** Reaches the other hosts. */
     public interface Network {
@@ -143,24 +141,6 @@
         private static final Decision GRANTED = new Decision(true, 0, 0, "");
     }
 
-    /** What to do with the reply to a message, or without one. */
-    private interface ReplyHandler {
-        /** The answer only shows that the host is alive. */
-        ReplyHandler NONE = new ReplyHandler() {
-            @Override
-            public void onReply(QuotaReply reply) {}
-
-            @Override
-            public void onLost() {}
-        };
-
-        void onReply(QuotaReply reply);
-
-        void onLost();
-    }
-
-    private record Sent(String host, long sentMs, ReplyHandler handler) {}
-
     /**
      * Creates the quotas of a host that has just started.
      *
@@ -178,8 +158,8 @@
         this.network = network;
         this.order = new KeeperOrder(host, network::hosts, clock.nowMs());
         this.enteredMs = clock.nowMs();
-        // Differs from that of other hosts and of an earlier process of this host.
-        this.nextRequestId = KeeperOrder.weight(Long.toString(clock.nowMs()), host);
+        long firstId = KeeperOrder.weight(Long.toString(clock.nowMs()), host);
+        this.messages = new QuotaMessages(firstId, this::enter, scheduler, network::send, this::onSilent);
     }
 
     /**
@@ -196,6 +176,7 @@
             return;
         }
         long nowMs = enter();
+        recordUse(nowMs);
         String name = customer.id().value();
         CustomerLease lease = leases.computeIfAbsent(name, n -> new CustomerLease());
         lease.configure(customer.limit(), configVersion);
@@ -231,7 +212,7 @@
         if (lease == null) {
             return;
         }
-        enter();
+        recordUse(enter());
         lease.returnedTokens++;
         flush(name, lease);
     }
@@ -243,19 +224,23 @@
      * @param callback called with the reply, now or when the account's host has answered
      */
     public void answer(QuotaRequest request, Consumer<QuotaReply> callback) {
-        long beforeMs = usedMs;
         long nowMs = enter();
         String customer = request.getCustomer();
-        // A ping does not keep this host's own pings going.
-        usedMs = customer.isEmpty() ? beforeMs : nowMs;
+        if (!customer.isEmpty()) {
+            recordUse(nowMs);
+        }
         QuotaReply elsewhere = QuotaReply.newBuilder().setId(request.getId()).build();
-        QuotaReply before = answered.get(request.getId());
-        if (before != null) {
-            callback.accept(before);
+        QuotaReply cachedReply = answered.get(request.getId());
+        if (cachedReply != null) {
+            callback.accept(cachedReply);
+            return;
+        }
+        if (forwarding.contains(request.getId())) {
+            // A repetition: the reply to the first message follows.
             return;
         }
-        boolean stale = customer.isEmpty() || !isValid(request) || nowMs < resumedMs + DRAIN_MS;
-        Optional<String> keeper = stale ? Optional.empty() : firstKeeper(customer);
+        boolean usable = !customer.isEmpty() && isValid(request) && nowMs >= resumedMs + DRAIN_MS;
+        Optional<String> keeper = usable ? firstKeeper(customer) : Optional.empty();
         if (keeper.equals(Optional.of(host))) {
             QuotaAccount account = account(customer, limitOf(request), request.getConfigVersion(), nowMs);
             QuotaReply reply = serve(
@@ -289,11 +274,7 @@
                     nowMs + Math.max(0, Math.min(CONSTRAINED_MS, reply.getValidityMs()));
             return;
         }
-        Sent message = sent.remove(reply.getId());
-        if (message != null) {
-            order.onAlive(message.host(), nowMs);
-            message.handler().onReply(reply);
-        }
+        messages.onReply(reply, alive -> order.onAlive(alive, nowMs));
     }
 
     /**
@@ -311,7 +292,7 @@
      * @return the number since the start
      */
     public long lostReplies() {
-        return lostReplies;
+        return messages.lostReplies();
     }
 
     /**
@@ -328,11 +309,12 @@
     private Decision decideHere(String customer, CustomerLease lease, long nowMs) {
         QuotaAccount account = account(customer, lease.limit, lease.configVersion, nowMs);
         refill(account, nowMs);
+        // Before the decision, since returned tokens may end the constraint.
+        account.giveBack(lease.returnedTokens);
+        lease.returnedTokens = 0;
         boolean free = !account.isConstrained(bounds, nowMs);
-        QuotaReply.Builder reply =
-                serve(customer, account, lease.usedTokens + (free ? 1 : 0), lease.returnedTokens, free ? 0 : 1, nowMs);
+        QuotaReply.Builder reply = serve(customer, account, lease.usedTokens + (free ? 1 : 0), 0, free ? 0 : 1, nowMs);
         lease.usedTokens = 0;
-        lease.returnedTokens = 0;
         return free || reply.getGrantedTokens() >= 1
                 ? Decision.GRANTED
                 : new Decision(false, reply.getRetryAfterMs(), reply.getAccountAgeMs(), host);
@@ -407,18 +389,24 @@
     }
 
     private void forward(String keeper, QuotaRequest request, Consumer<QuotaReply> callback, QuotaReply elsewhere) {
-        ReplyHandler handler = new ReplyHandler() {
+        long id = request.getId();
+        forwarding.add(id);
+        QuotaMessages.ReplyHandler handler = new QuotaMessages.ReplyHandler() {
             @Override
             public void onReply(QuotaReply reply) {
-                callback.accept(reply.toBuilder().setId(request.getId()).build());
+                forwarding.remove(id);
+                QuotaReply forwarded = reply.toBuilder().setId(id).build();
+                answered.put(id, forwarded);
+                callback.accept(forwarded);
             }
 
             @Override
             public void onLost() {
+                forwarding.remove(id);
                 callback.accept(elsewhere);
             }
         };
-        send(keeper, request.toBuilder().setForwarded(true), FORWARD_TIMEOUT_MS, handler);
+        messages.send(keeper, request.toBuilder().setForwarded(true), FORWARD_TIMEOUT_MS, handler);
     }
 
     private static boolean isValid(QuotaRequest request) {
@@ -550,7 +538,7 @@
                 .setLimitPerS(lease.limit.perS())
                 .setBurst(lease.limit.burst())
                 .setConfigVersion(lease.configVersion);
-        sendRepeatedly(keeper.get(), request, new ReplyHandler() {
+        messages.sendRepeatedly(keeper.get(), request, new QuotaMessages.ReplyHandler() {
             @Override
             public void onReply(QuotaReply reply) {
                 lease.asking = false;
@@ -662,43 +650,13 @@
         return keepers.computeIfAbsent(customer, c -> order.candidates(c).findFirst());
     }
 
-    /** Sends a message again until it is answered, since a reply that is late lets requests wait. */
-    private void sendRepeatedly(String receiver, QuotaRequest.Builder request, ReplyHandler handler) {
-        long id = send(receiver, request, REPLY_TIMEOUT_MS, handler);
-        for (long delayMs = REPEAT_MS; delayMs < REPLY_TIMEOUT_MS; delayMs += REPEAT_MS) {
-            scheduler.schedule(delayMs, () -> {
-                if (sent.containsKey(id)) {
-                    network.send(receiver, request.build());
-                }
-            });
-        }
-    }
-
-    private long send(String receiver, QuotaRequest.Builder request, long timeoutMs, ReplyHandler handler) {
-        long id = nextRequestId++;
-        long sentMs = clock.nowMs();
-        sent.put(id, new Sent(receiver, sentMs, handler));
-        scheduler.schedule(timeoutMs, () -> onTimeout(id, timeoutMs));
-        network.send(receiver, request.setId(id).build());
-        return id;
-    }
-
-    private void onTimeout(long id, long timeoutMs) {
-        long nowMs = enter();
-        Sent message = sent.remove(id);
-        if (message == null) {
-            return;
-        }
-        lostReplies++;
-        // A timer that fires late shows that this host was slow, not the other one.
-        if (nowMs - message.sentMs() < 2 * timeoutMs) {
-            boolean lost = order.onTimeout(message.host(), nowMs);
-            if (lost && nowMs - lossMs > LOSS_INTERVAL_MS) {
-                lossMs = nowMs;
-                ping(PINGS_AFTER_LOSS, nowMs);
-            }
+    private void onSilent(String name) {
+        long nowMs = clock.nowMs();
+        boolean lost = order.onTimeout(name, nowMs);
+        if (lost && nowMs - lossMs > LOSS_INTERVAL_MS) {
+            lossMs = nowMs;
+            ping(PINGS_AFTER_LOSS, nowMs);
         }
-        message.handler().onLost();
     }
 
     /** Notes the time, and whether this host has run at all since the last one; returns the time. */
@@ -708,13 +666,17 @@
             onPause(nowMs);
         }
         enteredMs = nowMs;
-        usedMs = nowMs;
         order.refresh(network.mayKeep(), nowMs);
-        startTicking();
         return nowMs;
     }
 
-    /** Other hosts may have kept the accounts meanwhile; granted tokens may count as returned. */
+    /** Keeps the periodic checks going for some time; pings and their replies do not. */
+    private void recordUse(long nowMs) {
+        usedMs = nowMs;
+        startTicking();
+    }
+
+    /** Other hosts may have kept the accounts meanwhile. Held tokens are dropped without being returned. */
     private void onPause(long nowMs) {
         resumedMs = nowMs;
         accounts.forEach((customer, account) -> {
@@ -732,9 +694,7 @@
     }
 
     private void tick() {
-        long beforeMs = usedMs;
         long nowMs = enter();
-        usedMs = beforeMs;
         if (nowMs - usedMs > ACTIVE_MS) {
             ticking = false;
             return;
@@ -744,10 +704,10 @@
         reach.nextRound();
         List<String> silent = order.silent(nowMs);
         if (!silent.isEmpty()) {
-            sendRepeatedly(
+            messages.sendRepeatedly(
                     silent.get(Math.floorMod(nextSilent++, silent.size())),
                     QuotaRequest.newBuilder(),
-                    ReplyHandler.NONE);
+                    QuotaMessages.ReplyHandler.NONE);
         }
         if (!accounts.isEmpty() && (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS)) {
             ping(PINGS_PER_TICK, nowMs);
@@ -771,7 +731,7 @@
 
     private void ping(String other) {
         int round = reach.round();
-        sendRepeatedly(other, QuotaRequest.newBuilder(), new ReplyHandler() {
+        messages.sendRepeatedly(other, QuotaRequest.newBuilder(), new QuotaMessages.ReplyHandler() {
             @Override
             public void onReply(QuotaReply reply) {
                 reach.countAnswered(round);
--- a/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
+++ b/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
@@ -48,7 +48,11 @@
             return;
         }
         refreshedMs = nowMs;
-        version += mayKeep == withSelf ? 0 : 1;
+        if (mayKeep != withSelf) {
+            version++;
+            // Another host may have kept this host's accounts until now, or keeps them from now on.
+            changedMs = nowMs;
+        }
         withSelf = mayKeep;
         Set<String> known = Set.copyOf(knownHosts.get());
         if (known.size() == hosts.size() && known.containsAll(hosts)) {
--- a/core/src/main/java/org/celerygw/core/limits/QuotaAccount.java
+++ b/core/src/main/java/org/celerygw/core/limits/QuotaAccount.java
@@ -27,12 +27,14 @@
     private long noticedMs = Long.MIN_VALUE / 2;
 
     /**
-     * Opens an account without burst.
+     * Opens an account. It starts with a part of the permitted excess and is refilled for the time since
+     * {@code refillsSinceMs}.
      *
      * @param bounds how closely the quota is kept
      * @param limit the customer's limit
      * @param configVersion the version of the configuration that holds the limit
      * @param refillsSinceMs the time since which no other host has kept the account, at most nowMs
+     * @param nowMs the current time, in ms
      */
     QuotaAccount(QuotaBounds bounds, RateLimit limit, long configVersion, long refillsSinceMs, long nowMs) {
         this.limit = limit;
--- a/core/src/main/java/org/celerygw/core/limits/UnsentBytes.java
+++ b/core/src/main/java/org/celerygw/core/limits/UnsentBytes.java
@@ -6,7 +6,7 @@
  */
 public final class UnsentBytes {
     private static final long MAX_BYTES_PER_RESPONSE = 256 << 10;
-    /** With n slow clients, about 1 / (n + 8) of the bound stays free for others. */
+    /** With n slow clients, each holds about 1 / (n + 8) of the bound, and 8 / (n + 8) stays free. */
     private static final int FREE_DIVISOR = 8;
 
     private final long maxBytes;
--- a/core/src/main/java/org/celerygw/core/peers/FeedWait.java
+++ b/core/src/main/java/org/celerygw/core/peers/FeedWait.java
@@ -13,7 +13,7 @@
     /** The longest wait that the store allows, in ms. */
     public static final long MAX_WAIT_MS = 30_000;
 
-    /** Then 8 polls of the fleet end in each second, whatever its size. */
+    /** Bounds the random wait by the size of the fleet, so that about 8 of its polls end in each second. */
     private static final long WAIT_MS_PER_HOST = 250;
 
     private FeedWait() {}
--- a/core/src/main/java/org/celerygw/core/routes/ConfigFreshness.java
+++ b/core/src/main/java/org/celerygw/core/routes/ConfigFreshness.java
@@ -9,7 +9,7 @@
     /** A new key must be accepted by this time after it was written, so that until then a host need not know it. */
     private static final long MAX_UNCONFIRMED_MS = 3_000;
 
-    /** For so long after its last answer a peer says that the store answers it, so that its digest may be as old. */
+    /** A peer reports for this long after the store's last answer that it answers, so its confirmation may be this old. */
     private static final long PEER_ANSWER_AGE_MS = 2_500;
 
     /** Many requests with unknown keys cause no more reads from peers than this. */
--- a/core/src/main/java/org/celerygw/core/routes/RouteTable.java
+++ b/core/src/main/java/org/celerygw/core/routes/RouteTable.java
@@ -62,7 +62,7 @@
      *
      * @return a table whose services name no memory size
      */
-    public RouteTable withoutEngineMemory() {
+    public RouteTable withoutMemoryLimits() {
         List<Route> routes =
                 routesByHost.values().stream().flatMap(r -> r.values().stream()).toList();
         List<Service> unsized =
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -51,7 +51,7 @@
     /** Part of the engines' room that a customer leaves free for each level above its share; docs/design/fair-queueing.md. */
     private static final double RESERVED_SHARE_PER_LEVEL = 0.13;
 
-    /** Part of the room that less urgent requests leave free while more urgent ones arrive; 0.25 left these 0.72 in time. */
+    /** Part of the room that requests of a lower rank leave free while requests of a higher rank arrive. */
     private static final double RESERVED_SHARE_FOR_RANKS = 0.35;
 
     private static final long RANK_MEMORY_MS = 1_000;
--- a/core/src/main/java/org/celerygw/core/servers/CacheAffinity.java
+++ b/core/src/main/java/org/celerygw/core/servers/CacheAffinity.java
@@ -40,6 +40,7 @@
     private final Map<String, Double> loads = new HashMap<>();
     private final Map<KeyOfService, Spread> spreads = boundedMap(MAX_HOT_KEYS);
     private long choices;
+    private long nextEqual;
 
     private record WarmKey(String service, String key, String server) {}
 
@@ -122,19 +123,26 @@
         int least = home.stream().mapToInt(TrackedServer::load).min().orElse(0);
         List<TrackedServer> equal =
                 home.stream().filter(server -> server.load() == least).toList();
-        return equal.get((int) (choices % equal.size()));
+        return equal.get((int) (nextEqual++ % equal.size()));
     }
 
     /** Returns the servers of a key: the first of its order, as many as its load needs. */
     private List<TrackedServer> home(List<TrackedServer> candidates, String service, String key, long nowMs) {
-        int servers = servers(candidates, service, key, nowMs);
+        adaptSpread(candidates, service, key, nowMs);
+        return serversOf(candidates, service, key, nowMs);
+    }
+
+    private List<TrackedServer> serversOf(List<TrackedServer> candidates, String service, String key, long nowMs) {
+        Spread spread = spreads.get(new KeyOfService(service, key));
+        int servers = spread == null ? 1 : Math.min(spread.servers, candidates.size());
         return servers == 1
                 ? Rendezvous.first(candidates, key, EngineSelector.weight(nowMs)).stream()
                         .toList()
                 : Rendezvous.order(candidates, key, EngineSelector.weight(nowMs), servers);
     }
 
-    private int servers(List<TrackedServer> candidates, String service, String key, long nowMs) {
+    /** Lets the number of a key's servers grow or shrink by one, by the load that the key causes. */
+    private void adaptSpread(List<TrackedServer> candidates, String service, String key, long nowMs) {
         HotKeys keys = hotKeys.get(service);
         double share = keys == null ? 0 : keys.share(key);
         double slots = candidates.stream()
@@ -145,7 +153,7 @@
         KeyOfService id = new KeyOfService(service, key);
         Spread spread = spreads.get(id);
         if (spread == null && need <= 1) {
-            return 1;
+            return;
         }
         if (spread == null) {
             spread = new Spread();
@@ -160,7 +168,6 @@
             spread.changedAtMs = nowMs;
         }
         spread.servers = Math.max(1, Math.min(MAX_SERVERS_PER_KEY, spread.servers));
-        return Math.min(spread.servers, candidates.size());
     }
 
     /**
@@ -182,7 +189,7 @@
         boolean warm = beforeMs != null && beforeMs <= nowMs - durationMs && nowMs - beforeMs <= WARM_MS;
         // A request that was sent before the first response about the object may have been cold or not.
         boolean cold = (beforeMs == null || nowMs - beforeMs > WARM_MS)
-                && !home(servers, service, key, nowMs).contains(server);
+                && !serversOf(servers, service, key, nowMs).contains(server);
         double ms = durationMs / server.speed().slowness(nowMs);
         CacheSaving saving = savings.computeIfAbsent(route, r -> new CacheSaving());
         if (warm) {
--- a/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/EngineSelector.java
@@ -44,7 +44,7 @@
         return prefillTimes;
     }
 
-    /** Engines with a request limit have little load; it says nothing about how much the others should have. */
+    /** Returns the load limit. The low load of engines with a request limit would reduce the mean, so they do not count. */
     static double loadLimit(List<TrackedServer> candidates, long nowMs) {
         double meanLoad = candidates.stream()
                 .filter(server -> !server.limit().isInForce(nowMs))
--- a/core/src/main/java/org/celerygw/core/servers/PlainSelector.java
+++ b/core/src/main/java/org/celerygw/core/servers/PlainSelector.java
@@ -15,7 +15,7 @@
     /** Another zone is used if its server has at least one request less. */
     private static final double ZONE_COST_REQUESTS = 0.5;
 
-    /** Half the least difference between equally fast servers, so that only equally loaded ones of these are alike. */
+    /** Servers whose expected completion differs by less than this count as equal. */
     private static final double DAMPING_REQUESTS = 0.5;
 
     private final EngineGroup group;
--- a/core/src/main/java/org/celerygw/core/servers/SpeedLearner.java
+++ b/core/src/main/java/org/celerygw/core/servers/SpeedLearner.java
@@ -56,12 +56,12 @@
     /**
      * A complete response of an engine.
      *
-     * @param promptTokens the tokens of the prompt; 0 if not known
+     * @param missingTokens the tokens of the prompt that the engine probably did not hold; 0 if not known
      * @param events the number of events after the first one
      * @param firstEventMs the time from sending the request to the first event, in ms
      * @param wholeMs the time from sending the request to the end of the response, in ms
      */
-    public record EngineTimes(long promptTokens, int events, long firstEventMs, long wholeMs) {}
+    public record EngineTimes(long missingTokens, int events, long firstEventMs, long wholeMs) {}
 
     /**
      * Records a complete response of a server that is not an engine.
@@ -91,7 +91,7 @@
      */
     public void recordEngineResponse(
             TrackedServer server, String route, int loadAtStart, EngineTimes times, long nowMs) {
-        int promptStep = 64 - Long.numberOfLeadingZeros(Math.max(0, times.promptTokens()));
+        int promptStep = 64 - Long.numberOfLeadingZeros(Math.max(0, times.missingTokens()));
         Mean first = mean(server, route, promptStep, loadAtStart);
         Mean perEvent = mean(server, "", -1, loadAtStart);
         double firstMs = Math.max(1, times.firstEventMs());
--- a/core/src/main/java/org/celerygw/core/servers/ZoneRooms.java
+++ b/core/src/main/java/org/celerygw/core/servers/ZoneRooms.java
@@ -124,12 +124,12 @@
     }
 
     /**
-     * Returns how many zones have requests waiting, this host's included.
+     * Returns how many zones lack free slots for their own requests.
      *
      * @param service the service's name
      * @return the number, 1 or more
      */
-    int zonesThatBorrow(String service) {
+    int countZonesWithoutRoom(String service) {
         return (int) Math.max(
                 1,
                 entries.entrySet().stream()
@@ -145,7 +145,7 @@
         if (entry == null || freeSlots < 1) {
             return 0;
         }
-        double perMs = BORROWED_SHARE * freeSlots / Math.max(1, serviceMs) / hosts / zonesThatBorrow(service);
+        double perMs = BORROWED_SHARE * freeSlots / Math.max(1, serviceMs) / hosts / countZonesWithoutRoom(service);
         double addedMs = Math.max(0.0, (double) (nowMs - entry.tokensAtMs));
         entry.tokens = Math.min(Math.max(1, perMs * MAX_SAVED_MS), entry.tokens + perMs * addedMs);
         entry.tokensAtMs = nowMs;
--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -628,7 +628,7 @@
                     .addKeyValue("before", configVersion())
                     .addKeyValue("routes", newRoutes.size())
                     .log("config: new configuration is in force");
-            routes = settings.enginesFailWithoutMemory() ? newRoutes : newRoutes.withoutEngineMemory();
+            routes = settings.limitsEngineMemory() ? newRoutes : newRoutes.withoutMemoryLimits();
             serverSelector.setMemory(
                     name -> routes.service(name).map(Service::memoryTokens).orElse(0));
             newRoutes.customers().problems().forEach(problem -> LOG.atError()
--- a/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/celerygw/gateway/GatewaySettings.java
@@ -17,7 +17,7 @@
  * @param maxRowBytes the maximum size of a row's value, in bytes
  * @param memoryMb how much memory the process may use, in MB
  * @param customerBounds how closely the keys and quotas of customers are enforced
- * @param enginesFailWithoutMemory whether an engine fails when its requests exceed its memory, so that placements count it;
+ * @param limitsEngineMemory whether an engine fails when its requests exceed its memory, so that placements count it;
  *     other engines preempt requests instead
  */
 public record GatewaySettings(
@@ -33,7 +33,7 @@
         int maxRowBytes,
         int memoryMb,
         CustomerBounds customerBounds,
-        boolean enginesFailWithoutMemory) {
+        boolean limitsEngineMemory) {
     /** Makes a defensive copy of the seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -62,6 +62,7 @@
     private @Nullable TrackedServer currentServer;
     private long lastReceivedMs;
     private long sentMs;
+    private long sentTokens;
     private long serverMs;
     private long queuedMs;
     private long serverFirstByteMs;
@@ -249,7 +250,8 @@
         possibleExecutions++;
         crashGuard.onSend();
         turn.onSend(server.entry().softwareVersion());
-        forwarder.requestStarted(server, service, turn.memoryTokens());
+        sentTokens = turn.memoryTokens();
+        forwarder.requestStarted(server, service, sentTokens);
         forwarder.requestLog.logSend(this, server);
         sentMs = forwarder.clock.nowMs();
         lastReceivedMs = sentMs;
@@ -473,7 +475,7 @@
         pendingRequest = null;
         if (pending != null && server != null) {
             pending.cancel();
-            forwarder.requestEnded(server, service, turn.memoryTokens());
+            forwarder.requestEnded(server, service, sentTokens);
             forwarder.requestLog.logSendEnd(this, server.entry().id(), "cancelled");
         }
     }
@@ -518,7 +520,7 @@
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
         serverMs += forwarder.clock.nowMs() - sentMs;
-        forwarder.requestEnded(server, service, turn.memoryTokens());
+        forwarder.requestEnded(server, service, sentTokens);
         forwarder.requestLog.logSendEnd(this, server.entry().id(), outcome);
     }
 
@@ -537,8 +539,9 @@
             this.server = server;
             this.loadAtStart = server.load() - 1;
             List<PromptPart> shared = sharedParts();
-            this.missingTokens =
-                    metadata.promptTokens() - server.promptCache().heldTokens(shared, forwarder.clock.nowMs());
+            // Clients that name no tokens may name parts all the same.
+            long held = server.promptCache().heldTokens(shared, forwarder.clock.nowMs());
+            this.missingTokens = Math.max(0, metadata.promptTokens() - held);
             server.promptCache().add(shared, forwarder.clock.nowMs());
             this.eventsBefore = responseWriter.receivedEvents();
         }
@@ -679,7 +682,7 @@
             long nowMs = forwarder.clock.nowMs();
             long wholeMs = lastReceivedMs - sentMs;
             if (service.runsEngines()) {
-                if (!metadata.promptParts().isEmpty()) {
+                if (!metadata.promptParts().isEmpty() && metadata.promptTokens() > 0) {
                     forwarder
                             .serverSelector
                             .prefillTimes()
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ReadPacer.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ReadPacer.java
@@ -8,7 +8,7 @@
 
 /** Passes a response on as fast as its client takes it: while too much of it is unsent, the server is not read. */
 final class ReadPacer {
-    /** Within this time of a pause, no server breaks off a response because nobody reads it. */
+    /** Shorter pauses in total are not regarded as the cause of an aborted response. */
     private static final long MIN_HELD_UP_MS = 500;
 
     private final Clock clock;
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -82,7 +82,7 @@
     @FunctionalInterface
     interface LocalDigest {
         /** The suspects are many while servers crash, so that not each digest has them. */
-        Digest.Builder create(boolean withSuspects);
+        Digest.Builder create(boolean withSuspects, boolean inRound);
     }
 
     DigestExchange(
@@ -142,7 +142,7 @@
     void runRound() {
         group = HostGroup.of(peers.live().toList(), host, zone, p -> p.digest.getHost(), p -> p.digest.getZone());
         onGroup.accept(group.index(), group.count());
-        send(targets.nextRound(peers.all()), true);
+        send(targets.nextRound(peers.all()), true, true);
         List<ReceivedDigest> digests = peers.all().stream()
                 .filter(p -> !p.digest.getHost().isEmpty())
                 .map(p -> new ReceivedDigest(
@@ -172,7 +172,7 @@
             changeDueMs = Long.MAX_VALUE;
             boolean withSuspects = suspectsPending;
             suspectsPending = false;
-            send(group.peers(), withSuspects);
+            send(group.peers(), withSuspects, false);
         }
     }
 
@@ -182,13 +182,13 @@
         sendWithin(ChangeDelay.URGENT_MS);
     }
 
-    private void send(List<Peer> receivers, boolean withSuspects) {
+    private void send(List<Peer> receivers, boolean withSuspects, boolean inRound) {
         Channel channel = socket;
         if (channel == null || receivers.isEmpty()) {
             return;
         }
         Digest digest = localDigest
-                .create(withSuspects)
+                .create(withSuspects, inRound)
                 .setHost(host)
                 .setZone(zone)
                 .setGrantsPermits(permits.grants())
@@ -215,7 +215,7 @@
 
     /** Sends the digest to the host of that name; does nothing if the host is not known. */
     void sendDigest(String receiver) {
-        peer(receiver).ifPresent(p -> send(List.of(p), true));
+        peer(receiver).ifPresent(p -> send(List.of(p), true, false));
     }
 
     /** A host that was replaced may have registered twice; the address that was seen last is the present one. */
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -312,7 +312,7 @@
         return peers.live().count() >= HostGroup.MAX_HOSTS;
     }
 
-    private Digest.Builder localDigest(boolean inRound) {
+    private Digest.Builder localDigest(boolean withSuspects, boolean inRound) {
         return Digest.newBuilder()
                 .setConfigVersion(localState.configVersion())
                 .setStoreAnswers(health.isAnswering())
@@ -322,7 +322,7 @@
                 .putAllWaiting(WaitingCodec.encode(localState.waitingByService(), localState.waitingByPrecedence()))
                 .addAllCustomerWork(WaitingCodec.encodeWork(localState.customerWork()))
                 .addAllStarted(localState.recentlyStarted())
-                .addAllSuspects(inRound ? localState.crashSuspects() : List.of())
+                .addAllSuspects(withSuspects ? localState.crashSuspects() : List.of())
                 .addAllZoneRoom(inRound && isLargeFleet() ? localState.zoneRooms() : List.of());
     }
 
--- a/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/peers/DigestMutationTest.java
@@ -81,7 +81,7 @@
                 "z",
                 servers,
                 new PeerTable(loop, clock, host),
-                withSuspects -> Digest.newBuilder(),
+                (withSuspects, inRound) -> Digest.newBuilder(),
                 () -> false,
                 (index, count) -> {},
                 this::onDigest,
