Share one bounded map and one type of prompt parts

Cause: five classes had their own copy of a map that drops the least recently used entry, and two identical records held a part of a prompt.

--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.celerygw.core.gen.peers.QuotaReply;
 import org.celerygw.core.gen.peers.QuotaRequest;
+import org.celerygw.core.helper.LruMap;
 import org.celerygw.core.id.CustomerId;
 import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.RateLimit;
--- a/core/src/main/java/org/celerygw/core/scheduling/CompetingCustomers.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/CompetingCustomers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.celerygw.core.helper.LruMap;
 import org.celerygw.core.id.CustomerId;
 
 /**
@@ -33,14 +34,7 @@
 
     private final FairShares<Integer> own = FairShares.decaying(DECAY_MS);
     private final FairShares<Integer> group = FairShares.decaying(DECAY_MS);
-    private final Map<String, FairShares<Integer>> byPeer = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, FairShares<Integer>> eldest) {
-            return size() > MAX_PEERS;
-        }
-    };
+    private final Map<String, FairShares<Integer>> byPeer = new LruMap<>(MAX_PEERS);
     private long totalsAtMs = Long.MIN_VALUE / 2;
     private long toldAtMs = Long.MIN_VALUE / 2;
     private int count;
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -8,7 +8,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +18,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.celerygw.core.helper.LruMap;
 import org.celerygw.core.servers.Placement;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.ServerSelector;
@@ -77,14 +77,7 @@
     private final CompetingCustomers customers = new CompetingCustomers();
     private final Map<String, TreeSet<Entry>> waiting = new HashMap<>();
     private final Map<String, Double> serviceMs = new HashMap<>();
-    private final Map<Integer, Boolean> startedPrograms = new LinkedHashMap<>(256, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> eldest) {
-            return size() > MAX_KNOWN_PROGRAMS;
-        }
-    };
+    private final Map<Integer, Boolean> startedPrograms = new LruMap<>(MAX_KNOWN_PROGRAMS);
     private final Deque<Start> recentStarts = new ArrayDeque<>();
     private long nextNumber;
 
--- a/core/src/main/java/org/celerygw/core/servers/CacheAffinity.java
+++ b/core/src/main/java/org/celerygw/core/servers/CacheAffinity.java
@@ -1,10 +1,10 @@
 package org.celerygw.core.servers;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.celerygw.core.helper.LruMap;
 
 /**
  * Prefers the server that has handled an object lately, while its expected wait costs less than its warm cache saves. Each
@@ -34,11 +34,11 @@
     /** One request in this many goes elsewhere while a saving is known, so that its size remains known. */
     private static final int COLD_TRIAL_INTERVAL = 32;
 
-    private final Map<WarmKey, Long> warmAtMs = boundedMap(MAX_WARM);
-    private final Map<String, CacheSaving> savings = boundedMap(MAX_ROUTES);
+    private final Map<WarmKey, Long> warmAtMs = new LruMap<>(MAX_WARM);
+    private final Map<String, CacheSaving> savings = new LruMap<>(MAX_ROUTES);
     private final Map<String, HotKeys> hotKeys = new HashMap<>();
     private final Map<String, Double> loads = new HashMap<>();
-    private final Map<KeyOfService, Spread> spreads = boundedMap(MAX_HOT_KEYS);
+    private final Map<KeyOfService, Spread> spreads = new LruMap<>(MAX_HOT_KEYS);
     private long choices;
     private long nextEqual;
 
@@ -61,17 +61,6 @@
         UNKNOWN
     }
 
-    private static <K, V> Map<K, V> boundedMap(int maxSize) {
-        return new LinkedHashMap<>(64, 0.75f, true) {
-            private static final long serialVersionUID = 1;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-                return size() > maxSize;
-            }
-        };
-    }
-
     /**
      * Selects a server of a key if it saves time.
      *
--- a/core/src/main/java/org/celerygw/core/servers/PromptCache.java
+++ b/core/src/main/java/org/celerygw/core/servers/PromptCache.java
@@ -1,22 +1,15 @@
 package org.celerygw.core.servers;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.celerygw.core.helper.LruMap;
 
 /** The shared parts of prompts that one engine probably holds, by what this host has sent to it. Not thread-safe. */
 public final class PromptCache {
     private static final int MAX_PARTS = 200;
     private static final long MAX_AGE_MS = 60_000;
 
-    private final Map<String, Long> sentAtMs = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-            return size() > MAX_PARTS;
-        }
-    };
+    private final Map<String, Long> sentAtMs = new LruMap<>(MAX_PARTS);
 
     /**
      * Records that a prompt is sent to the engine.
--- a/core/src/main/java/org/celerygw/core/servers/SpeedLearner.java
+++ b/core/src/main/java/org/celerygw/core/servers/SpeedLearner.java
@@ -2,11 +2,11 @@
 
 import java.util.Collection;
 import java.util.DoubleSummaryStatistics;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.stream.Collectors;
+import org.celerygw.core.helper.LruMap;
 
 /**
  * Learns the speeds of servers from complete responses. The time of a response is compared with the mean time of the same
@@ -27,14 +27,7 @@
     private static final int LOAD_STEPS = 4;
     private static final int MAX_LOAD_STEP = 2 * LOAD_STEPS;
 
-    private final Map<Kind, Mean> means = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Kind, Mean> eldest) {
-            return size() > MAX_KINDS;
-        }
-    };
+    private final Map<Kind, Mean> means = new LruMap<>(MAX_KINDS);
 
     /** The step is negative for work that is not the first part of a response. */
     private record Kind(String service, String route, int promptStep, int loadStep) {}
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -377,11 +377,8 @@
 
     /** Returns the parts of the prompt that other requests share; the last part is the request's own. */
     List<PromptPart> sharedParts() {
-        List<RequestMetadata.PromptPart> parts = metadata.promptParts();
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .map(part -> new PromptPart(part.id(), part.tokens()))
-                .toList();
+        List<PromptPart> parts = metadata.promptParts();
+        return parts.subList(0, Math.max(0, parts.size() - 1));
     }
 
     /** Returns whether some servers may have the object of the request in their cache. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import java.util.List;
+import org.celerygw.core.servers.PromptPart;
 
 /**
  * Metadata of a client's request, decoded from its header section.
@@ -59,12 +60,4 @@
     public boolean hasBudget() {
         return !program.isEmpty() && budgetTokens >= 0;
     }
-
-    /**
-     * A part of a prompt, which an engine may still have in its cache.
-     *
-     * @param id the part's id
-     * @param tokens its length, in tokens
-     */
-    public record PromptPart(String id, int tokens) {}
 }
