--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -38,9 +38,8 @@
     /** Requests far below the limit go on while another host takes over the account, which costs one message. */
     private static final int MAX_LOST = 2;
 
-    private static final long NOTICE_MS = 2_000;
     /** Longer than the time between two notices, so that one lost notice does not end the constraint. */
-    private static final long CONSTRAINED_MS = 5_000;
+    static final long CONSTRAINED_MS = 5_000;
 
     private static final long REFUSED_MS = 100;
     private static final long TICK_MS = 200;
@@ -53,13 +52,10 @@
     private static final long TAKEOVER_MS = 300;
     /** The time until the account's host has noticed that others do not reach it. */
     private static final long ISOLATION_MS = 3_000;
-    /** Until this long after a host was lost or started, another one may have kept an account. */
-    private static final long SETTLE_MS = 10_000;
 
     private static final int PINGS_PER_TICK = 3;
     private static final int PINGS_AFTER_LOSS = 12;
     private static final long LOSS_INTERVAL_MS = 1_000;
-    private static final int ANNOUNCED_HOSTS = 2;
     private static final int MAX_CUSTOMERS = 5_000;
 
     private final String host;
@@ -70,7 +66,7 @@
     private final KeeperOrder order;
     private final ReachEstimate reach = new ReachEstimate();
     private final Map<String, CustomerLease> leases = new LruMap<>(MAX_CUSTOMERS);
-    private final Map<String, QuotaAccount> accounts = new LruMap<>(MAX_CUSTOMERS);
+    private final QuotaAccounts accounts;
     private final Map<String, Optional<String>> keepers = new LruMap<>(MAX_CUSTOMERS);
     /** Answers to messages that may arrive again. */
     private final Map<Long, QuotaReply> answered = new LruMap<>(MAX_CUSTOMERS);
@@ -81,7 +77,6 @@
     private final QuotaMessages messages;
     private long enteredMs;
     private long usedMs;
-    private long constrainedMs = Long.MIN_VALUE / 2;
     private long keepersVersion;
     private long checkedVersion;
     private int nextPing;
@@ -158,6 +153,7 @@
         this.bounds = bounds;
         this.network = network;
         this.order = new KeeperOrder(host, network::hosts, clock.nowMs());
+        this.accounts = new QuotaAccounts(host, bounds, order, reach, network, MAX_CUSTOMERS);
         this.enteredMs = clock.nowMs();
         long firstId = KeeperOrder.weight(Long.toString(clock.nowMs()), host);
         this.messages = new QuotaMessages(firstId, this::enter, scheduler, network::send, this::onSilent);
@@ -243,8 +239,8 @@
         boolean usable = !customer.isEmpty() && isValid(request) && nowMs >= resumedMs + DRAIN_MS;
         Optional<String> keeper = usable ? firstKeeper(customer) : Optional.empty();
         if (keeper.equals(Optional.of(host))) {
-            QuotaAccount account = account(customer, limitOf(request), request.getConfigVersion(), nowMs);
-            QuotaReply reply = serve(
+            QuotaAccount account = accounts.open(customer, limitOf(request), request.getConfigVersion(), nowMs);
+            QuotaReply reply = accounts.serve(
                             customer,
                             account,
                             request.getUsedTokens(),
@@ -308,87 +304,20 @@
     // The host that keeps the account
 
     private Decision decideHere(String customer, CustomerLease lease, long nowMs) {
-        QuotaAccount account = account(customer, lease.limit, lease.configVersion, nowMs);
-        refill(account, nowMs);
+        QuotaAccount account = accounts.open(customer, lease.limit, lease.configVersion, nowMs);
+        accounts.refill(account, nowMs);
         // Before the decision, since returned tokens may end the constraint.
         account.giveBack(lease.returnedTokens);
         lease.returnedTokens = 0;
         boolean free = !account.isConstrained(bounds, nowMs);
-        QuotaReply.Builder reply = serve(customer, account, lease.usedTokens + (free ? 1 : 0), 0, free ? 0 : 1, nowMs);
+        QuotaReply.Builder reply =
+                accounts.serve(customer, account, lease.usedTokens + (free ? 1 : 0), 0, free ? 0 : 1, nowMs);
         lease.usedTokens = 0;
         return free || reply.getGrantedTokens() >= 1
                 ? Decision.GRANTED
                 : new Decision(false, reply.getRetryAfterMs(), reply.getAccountAgeMs(), host);
     }
 
-    private QuotaAccount account(String customer, RateLimit limit, long configVersion, long nowMs) {
-        QuotaAccount account = accounts.get(customer);
-        if (account == null) {
-            account = new QuotaAccount(bounds, limit, configVersion, order.changedMs() + SETTLE_MS, nowMs);
-            accounts.put(customer, account);
-            announceTo(customer);
-        }
-        account.configure(limit, configVersion);
-        return account;
-    }
-
-    /** Another host may have kept the account so far, since it has not heard of this one. */
-    private void announceTo(String customer) {
-        order.candidates(customer)
-                .filter(candidate -> !candidate.equals(host))
-                .limit(ANNOUNCED_HOSTS)
-                .forEach(network::announce);
-    }
-
-    private QuotaReply.Builder serve(
-            String customer, QuotaAccount account, double used, double returned, double wanted, long nowMs) {
-        refill(account, nowMs);
-        account.giveBack(returned);
-        account.use(used);
-        boolean constrained = account.isConstrained(bounds, nowMs);
-        QuotaReply.Builder reply = QuotaReply.newBuilder()
-                .setKeepsAccount(true)
-                .setConstrained(constrained)
-                .setAccountAgeMs(account.ageMs(nowMs));
-        if (constrained) {
-            constrainedMs = nowMs;
-            double granted = account.grant(wanted);
-            reply.setGrantedTokens(granted).setValidityMs((int) VALIDITY_MS);
-            if (granted < wanted) {
-                reply.setRetryAfterMs((int) account.retryAfterMs(bounds.windowMs()));
-            }
-            sendNotices(customer, account, nowMs);
-        }
-        return reply;
-    }
-
-    private void sendNotices(String customer, QuotaAccount account, long nowMs) {
-        if (account.takeNotice(NOTICE_MS, nowMs)) {
-            QuotaReply notice = QuotaReply.newBuilder()
-                    .setCustomer(customer)
-                    .setKeepsAccount(true)
-                    .setConstrained(true)
-                    .setValidityMs((int) CONSTRAINED_MS)
-                    .build();
-            order.answering().forEach(other -> network.sendNotice(other, notice));
-        }
-    }
-
-    private void refill(QuotaAccount account, long nowMs) {
-        account.refill(grantedShare(nowMs), nowMs);
-    }
-
-    /**
-     * Returns the share of each limit that accounts here may grant: that of the hosts which this one reaches, since the
-     * others may keep accounts, too. Where most are reached, a few that are not stay within half of the overage.
-     */
-    private double grantedShare(long nowMs) {
-        double others = order.remembered(nowMs).size();
-        double answering = Math.min(1, order.answering().size() / Math.max(1, others));
-        double reached = (1 + Math.min(answering, reach.share()) * others) / (1 + others);
-        return Math.min(1, reached + (reached > 0.5 ? bounds.overage() / 2 : 0));
-    }
-
     private void forward(String keeper, QuotaRequest request, Consumer<QuotaReply> callback, QuotaReply elsewhere) {
         long id = request.getId();
         forwarding.add(id);
@@ -521,13 +450,14 @@
         lease.usedTokens = 0;
         lease.returnedTokens = 0;
         if (keeper.get().equals(host)) {
-            QuotaAccount account = account(customer, lease.limit, lease.configVersion, nowMs);
+            QuotaAccount account = accounts.open(customer, lease.limit, lease.configVersion, nowMs);
             apply(
                     customer,
                     lease,
                     host,
                     nowMs,
-                    serve(customer, account, used, returned, wanted, nowMs).build());
+                    accounts.serve(customer, account, used, returned, wanted, nowMs)
+                            .build());
             return;
         }
         lease.asking = true;
@@ -680,10 +610,7 @@
     /** Other hosts may have kept the accounts meanwhile. Held tokens are dropped without being returned. */
     private void onPause(long nowMs) {
         resumedMs = nowMs;
-        accounts.forEach((customer, account) -> {
-            account.skip(nowMs);
-            announceTo(customer);
-        });
+        accounts.resume(nowMs);
         leases.values().forEach(CustomerLease::dropHeld);
     }
 
@@ -710,7 +637,7 @@
                     QuotaRequest.newBuilder(),
                     QuotaMessages.ReplyHandler.NONE);
         }
-        if (!accounts.isEmpty() && (!silent.isEmpty() || nowMs - constrainedMs < ACTIVE_MS)) {
+        if (accounts.size() > 0 && (!silent.isEmpty() || nowMs - accounts.constrainedMs() < ACTIVE_MS)) {
             ping(PINGS_PER_TICK, nowMs);
         }
     }
@@ -718,7 +645,7 @@
     private void closeAccountsKeptElsewhere() {
         if (checkedVersion != order.version()) {
             checkedVersion = order.version();
-            accounts.keySet().removeIf(customer -> !firstKeeper(customer).equals(Optional.of(host)));
+            accounts.removeIf(customer -> !firstKeeper(customer).equals(Optional.of(host)));
         }
     }
 
