Leave room free for others only while these have to wait

Cause: while several customers had work, a customer above the mean and a less urgent rank always left part of the engines' room free, and new programs of a larger customer were refused, also while nobody waited.

Change: EngineQueue does so only if requests that precede had to wait within the last 5 s, at this host or at its group.

--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -55,6 +55,8 @@
     private static final double RESERVED_SHARE_FOR_RANKS = 0.35;
 
     private static final long RANK_MEMORY_MS = 1_000;
+    /** Longer than one wait, since room that is left free ends the waiting for which it is left free. */
+    private static final long SHORTAGE_MEMORY_MS = 5_000;
 
     private static final int MAX_PRECEDENCES_TOLD = 16;
     /** A request is refused at once if the expected wait is this many times what it can wait. */
@@ -74,6 +76,7 @@
     private final Function<String, Map<Integer, QueueLength>> peersWaitingByPrecedence;
     private final DoubleSupplier random;
     private final SortedMap<Integer, Long> rankSeenAtMs = new TreeMap<>();
+    private final SortedMap<Integer, Long> waitedAtMs = new TreeMap<>();
     private final CompetingCustomers customers = new CompetingCustomers();
     private final Map<String, TreeSet<Entry>> waiting = new HashMap<>();
     private final Map<String, Double> serviceMs = new HashMap<>();
@@ -219,7 +222,7 @@
         if (ahead == 0 && mayPassPeers && hasRoom && tryStart(entry, Set.of(), nowMs)) {
             return;
         }
-        boolean aboveShare = isAboveShare(entry.precedence);
+        boolean aboveShare = isAboveShare(entry.precedence) && othersWaited(entry.precedence, nowMs);
         long waitMs = expectedWaitMs(service, ahead, nowMs);
         if (aboveShare) {
             waitMs = Math.max(waitMs, shareWaitMs(entry, ownAhead, nowMs));
@@ -231,6 +234,7 @@
                     "cannot start in time on its customer's share: expected wait " + waitMs + " ms",
                     retryAfterMs(waitMs));
         } else {
+            waitedAtMs.put(entry.precedence, nowMs);
             queue.add(entry);
         }
     }
@@ -491,7 +495,10 @@
     private void startFairly(String service, TreeSet<Entry> queue, long nowMs) {
         updatePrecedences(queue, nowMs);
         Map<Integer, QueueLength> peers = peersWaitingByPrecedence.apply(service);
-        peers.keySet().forEach(precedence -> rankSeenAtMs.put(precedence / CompetingCustomers.LEVELS, nowMs));
+        peers.keySet().forEach(precedence -> {
+            rankSeenAtMs.put(precedence / CompetingCustomers.LEVELS, nowMs);
+            waitedAtMs.put(precedence, nowMs);
+        });
         int permits = selector.requestPermits(servers.byService(service), queue.size(), nowMs);
         double room = freeRoom(service, nowMs);
         Map<Integer, List<Entry>> classes = queue.stream()
@@ -519,6 +526,11 @@
         }
     }
 
+    /** Returns whether requests that precede a request had to wait lately, so that the room does not suffice for all. */
+    private boolean othersWaited(int precedence, long nowMs) {
+        return waitedAtMs.headMap(precedence).values().stream().anyMatch(atMs -> nowMs - atMs <= SHORTAGE_MEMORY_MS);
+    }
+
     private static boolean isAboveShare(int precedence) {
         return precedence % CompetingCustomers.LEVELS > 0;
     }
@@ -532,8 +544,14 @@
         return selector.freeRoom(servers.byService(service), (long) meanTokens, nowMs);
     }
 
-    /** Returns the room that less urgent requests and customers above their share leave free for the next of the others. */
+    /**
+     * Returns the room that less urgent requests and customers above their share leave free for the next of the others:
+     * none while the others do not have to wait.
+     */
     private double reserve(String service, int precedence, long nowMs) {
+        if (!othersWaited(precedence, nowMs)) {
+            return 0;
+        }
         int level = precedence % CompetingCustomers.LEVELS;
         int rank = precedence / CompetingCustomers.LEVELS;
         boolean moreUrgentArrive =
