--- a/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
+++ b/core/src/main/java/org/celerygw/core/limits/CustomerQuotas.java
@@ -184,7 +184,7 @@
         } else if (lease.takeHeld(nowMs)) {
             callback.accept(Decision.GRANTED);
             prefetch(name, lease, nowMs);
-        } else if (nowMs >= lease.constrainedUntilMs && mayOwe(name, lease, keeper)) {
+        } else if (nowMs >= lease.constrainedUntilMs && maySendUnreported(name, lease, keeper)) {
             lease.usedTokens++;
             lease.unacknowledgedTokens++;
             callback.accept(Decision.GRANTED);
@@ -363,7 +363,7 @@
     }
 
     /** Returns whether a request may be sent before the account's host knows of it. */
-    private boolean mayOwe(String customer, CustomerLease lease, Optional<String> keeper) {
+    private boolean maySendUnreported(String customer, CustomerLease lease, Optional<String> keeper) {
         if (keeper.isEmpty()) {
             return false;
         }
--- a/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
+++ b/core/src/main/java/org/celerygw/core/limits/KeeperOrder.java
@@ -19,7 +19,7 @@
     private static final long REFRESH_MS = 500;
     private static final int MAX_TIMEOUTS = 2;
     private static final long MIN_FORGET_MS = 30_000;
-    /** A live host is heard at least this often in large fleets, where digests to all hosts take longer. */
+    /** A live host sends at least this often in large fleets, where digests to all hosts take longer. */
     private static final long FORGET_MS_PER_HOST = 200;
 
     private static final int MAX_REMEMBERED = 4_000;
--- a/core/src/main/java/org/celerygw/core/limits/QuotaAccount.java
+++ b/core/src/main/java/org/celerygw/core/limits/QuotaAccount.java
@@ -106,7 +106,7 @@
         return tokens < low * share;
     }
 
-    /** Returns whether the hosts are to be told now that the account is constrained. */
+    /** Returns whether to notify the hosts now that the account is constrained. */
     boolean takeNotice(long intervalMs, long nowMs) {
         boolean due = nowMs - noticedMs >= intervalMs;
         noticedMs = due ? nowMs : noticedMs;
--- a/core/src/main/java/org/celerygw/core/limits/QuotaAccounts.java
+++ b/core/src/main/java/org/celerygw/core/limits/QuotaAccounts.java
@@ -73,7 +73,7 @@
         return account;
     }
 
-    /** Another host may have kept the account so far, since it has not heard of this one. */
+    /** Another host may have kept the account so far, since this one is new to it. */
     private void announceTo(String customer) {
         order.candidates(customer)
                 .filter(candidate -> !candidate.equals(host))
--- a/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
+++ b/core/src/main/java/org/celerygw/core/peers/FleetLoadEstimator.java
@@ -41,7 +41,7 @@
     private static final double GROUP_MARGIN = 0.5;
 
     private static final double SAMPLE_MARGIN = 1;
-    /** A peer of which nothing was heard for this long, in ms, is taken for dead rather than cut off. */
+    /** A peer without digests for this long, in ms, is taken for dead rather than partitioned. */
     private static final long MAX_SILENCE_MS = 30_000;
 
     private final int fanout;
--- a/core/src/main/java/org/celerygw/core/scheduling/CompetingCustomers.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/CompetingCustomers.java
@@ -23,9 +23,9 @@
     static final int LEVELS = 8;
 
     private static final int NO_CUSTOMER = 0;
-    private static final int MAX_TOLD = 16;
+    private static final int MAX_REPORTED = 16;
     private static final int MAX_PEERS = 32;
-    private static final long TELL_INTERVAL_MS = 250;
+    private static final long REPORT_INTERVAL_MS = 250;
     private static final long TOTALS_VALIDITY_MS = 50;
     /** Less work than this says nothing about a customer's demand. */
     private static final double MIN_SHARE_MS = 1_000;
@@ -36,7 +36,7 @@
     private final FairShares<Integer> group = FairShares.decaying(DECAY_MS);
     private final Map<String, FairShares<Integer>> byPeer = new LruMap<>(MAX_PEERS);
     private long totalsAtMs = Long.MIN_VALUE / 2;
-    private long toldAtMs = Long.MIN_VALUE / 2;
+    private long reportedAtMs = Long.MIN_VALUE / 2;
     private int count;
     private double meanMs;
 
@@ -54,13 +54,13 @@
         group.charge(customer, workMs, nowMs);
     }
 
-    /** Counts what a peer has started in addition to what it told before; a lost digest is made up for by the next. */
+    /** Counts what a peer has started in addition to what it reported before; a lost digest is made up for by the next. */
     void startedElsewhere(String peer, Map<Integer, Double> workMs, long nowMs) {
-        FairShares<Integer> told = byPeer.computeIfAbsent(peer, name -> FairShares.decaying(DECAY_MS));
+        FairShares<Integer> reported = byPeer.computeIfAbsent(peer, name -> FairShares.decaying(DECAY_MS));
         workMs.forEach((customer, customerWorkMs) -> {
-            double addedMs = customerWorkMs - told.leadMs(customer, nowMs);
+            double addedMs = customerWorkMs - reported.leadMs(customer, nowMs);
             if (addedMs > 0) {
-                told.charge(customer, addedMs, nowMs);
+                reported.charge(customer, addedMs, nowMs);
                 group.charge(customer, addedMs, nowMs);
             }
         });
@@ -107,18 +107,18 @@
         return own.leadMs(customer, nowMs) / DECAY_MS;
     }
 
-    /** Returns the work of the {@value #MAX_TOLD} customers with most of it at this host; empty if told just before. */
-    Map<Integer, Double> toTell(long nowMs) {
-        if (!compete(nowMs) || nowMs - toldAtMs < TELL_INTERVAL_MS) {
+    /** Returns the work of the {@value #MAX_REPORTED} customers with most of it at this host; empty if reported just before. */
+    Map<Integer, Double> workToReport(long nowMs) {
+        if (!compete(nowMs) || nowMs - reportedAtMs < REPORT_INTERVAL_MS) {
             return Map.of();
         }
-        toldAtMs = nowMs;
-        Map<Integer, Double> told = new LinkedHashMap<>();
+        reportedAtMs = nowMs;
+        Map<Integer, Double> reported = new LinkedHashMap<>();
         List<Map.Entry<Integer, Double>> most = own.leadsMs(nowMs).entrySet().stream()
                 .sorted(Map.Entry.<Integer, Double>comparingByValue(Comparator.reverseOrder()))
-                .limit(MAX_TOLD)
+                .limit(MAX_REPORTED)
                 .toList();
-        most.forEach(entry -> told.put(entry.getKey(), entry.getValue()));
-        return told;
+        most.forEach(entry -> reported.put(entry.getKey(), entry.getValue()));
+        return reported;
     }
 }
--- a/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/EngineQueue.java
@@ -58,7 +58,7 @@
     /** Longer than one wait, since room that is left free ends the waiting for which it is left free. */
     private static final long SHORTAGE_MEMORY_MS = 5_000;
 
-    private static final int MAX_PRECEDENCES_TOLD = 16;
+    private static final int MAX_PRECEDENCES_REPORTED = 16;
     /** A request is refused at once if the expected wait is this many times what it can wait. */
     private static final int WAIT_ESTIMATE_TOLERANCE = 2;
 
@@ -360,7 +360,7 @@
                                     Collectors.groupingBy(entry -> entry.precedence, TreeMap::new, Collectors.toList()))
                             .entrySet()
                             .stream()
-                            .limit(MAX_PRECEDENCES_TOLD)
+                            .limit(MAX_PRECEDENCES_REPORTED)
                             .collect(Collectors.toMap(Map.Entry::getKey, entries -> length(entries.getValue())))));
         }
         return lengths;
@@ -371,13 +371,13 @@
      *
      * @param nowMs the current time, in ms
      * @return slot time in ms by the hash of the customer; empty unless requests wait in the group and customers compete,
-     *     or if it was told just before
+     *     or if it was reported just before
      */
     public Map<Integer, Double> customerWork(long nowMs) {
         boolean anyWait = hasWaiting()
                 || serviceMs.keySet().stream()
                         .anyMatch(service -> !peersWaiting.apply(service).equals(QueueLength.NONE));
-        return anyWait ? customers.toTell(nowMs) : Map.of();
+        return anyWait ? customers.workToReport(nowMs) : Map.of();
     }
 
     /**
--- a/core/src/main/java/org/celerygw/core/servers/ServerSpeed.java
+++ b/core/src/main/java/org/celerygw/core/servers/ServerSpeed.java
@@ -19,7 +19,7 @@
     /** A slow moment affects all requests in flight: the samples of one window add little to its first. */
     private static final long WINDOW_MS = 500;
 
-    private static final double MIN_WEIGHT_TO_TELL = 2;
+    private static final double MIN_WEIGHT_TO_REPORT = 2;
     private static final double PEER_WEIGHT = 4;
     private static final double MIN_DEVIATION = 0.05;
     /** Smaller differences are not worth a different choice. */
@@ -125,7 +125,7 @@
 
     /** Returns whether both this host and its peers have samples. */
     boolean isKnownToPeersAsWell(long nowMs) {
-        return isKnownLocally(nowMs) && decayed(peersWeight, nowMs - peersAtMs) >= MIN_WEIGHT_TO_TELL;
+        return isKnownLocally(nowMs) && decayed(peersWeight, nowMs - peersAtMs) >= MIN_WEIGHT_TO_REPORT;
     }
 
     /** Returns by how much the peers' samples exceed those of this host, as a logarithm. */
@@ -158,7 +158,7 @@
      * @return false if there are too few or they are too old
      */
     public boolean isKnownLocally(long nowMs) {
-        return decayed(weight, nowMs - lastSampleMs) >= MIN_WEIGHT_TO_TELL;
+        return decayed(weight, nowMs - lastSampleMs) >= MIN_WEIGHT_TO_REPORT;
     }
 
     /**
--- a/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
+++ b/core/src/main/java/org/celerygw/core/servers/TrackedServer.java
@@ -151,7 +151,7 @@
      * Sets the estimated load from the peers.
      *
      * @param load the load
-     * @param silent the number of peers of which this host has not heard lately, if that is true of all of them; otherwise 0
+     * @param silent the number of peers if no digest of any of them has arrived lately; otherwise 0
      */
     public void setPeersLoad(PeersLoad load, int silent) {
         peers = load;
@@ -159,7 +159,7 @@
     }
 
     /**
-     * Changes the estimated load from the peers, one of which was just heard of.
+     * Changes the estimated load from the peers, from one of which a digest has just arrived.
      *
      * @param factor a factor by which to multiply the load; negative to subtract it
      * @param load the load to add
--- a/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
+++ b/core/src/test/java/org/celerygw/core/scheduling/SimulatedHosts.java
@@ -51,7 +51,7 @@
     private static final long TARGET_LATENCY_MS = 250;
     private static final long REQUEST_TIMEOUT_MS = 3_000;
     private static final double POLL_MS = 10;
-    /** Until then, hosts that all begin at once have not heard of each other. */
+    /** Until then, hosts that start at the same time do not know each other. */
     private static final double WARM_UP_MS = 5_000;
 
     private final Random random = new Random(1);
--- a/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/Peers.java
@@ -122,7 +122,7 @@
         /**
          * Returns the work that competing customers have received through this host lately.
          *
-         * @return slot time in ms by the hash of the customer; often empty, since it is told only now and then
+         * @return slot time in ms by the hash of the customer; often empty, since it is reported only now and then
          */
         Map<Integer, Double> customerWork();
 
