Compute the delay of digests only if it can matter, and share the end of waits for tokens

Cause: each start and end of a request built the map of waiting requests and looked through all servers, also in a fleet of one group and while an urgent digest was pending already. Exchange had the same branch twice for what follows a token of the quota.

Change: ChangeDelay asks for waiting requests last, and DigestExchange does not ask it while a digest is due as soon as an urgent one would be; Exchange.continueWithToken serves both. Behaviour is the same.

--- a/core/src/main/java/org/celerygw/core/peers/ChangeDelay.java
+++ b/core/src/main/java/org/celerygw/core/peers/ChangeDelay.java
@@ -1,5 +1,6 @@
 package org.celerygw.core.peers;
 
+import java.util.function.BooleanSupplier;
 import org.celerygw.core.servers.ServerList;
 import org.celerygw.core.servers.TrackedServer;
 
@@ -24,12 +25,13 @@
      * Returns the delay for a change of this host's load.
      *
      * @param groups the number of groups of hosts in this host's zone
-     * @param waiting whether requests wait for an engine at this host or in its group
+     * @param waiting returns whether requests wait for an engine at this host or in its group
      * @param servers the servers with their load
      * @return the delay, in ms
      */
-    public static long delayMs(int groups, boolean waiting, ServerList servers) {
-        boolean urgent = groups <= 1 || waiting || servers.all().stream().anyMatch(ChangeDelay::isNearlyFull);
+    public static long delayMs(int groups, BooleanSupplier waiting, ServerList servers) {
+        boolean urgent =
+                groups <= 1 || waiting.getAsBoolean() || servers.all().stream().anyMatch(ChangeDelay::isNearlyFull);
         return urgent ? URGENT_MS : RELAXED_MS;
     }
 
--- a/core/src/test/java/org/celerygw/core/peers/ChangeDelayTest.java
+++ b/core/src/test/java/org/celerygw/core/peers/ChangeDelayTest.java
@@ -26,19 +26,19 @@
 
     @Test
     public void changesInSmallFleetsAreUrgent() {
-        assertEquals(ChangeDelay.delayMs(1, false, servers), ChangeDelay.URGENT_MS);
+        assertEquals(ChangeDelay.delayMs(1, () -> false, servers), ChangeDelay.URGENT_MS);
     }
 
     @Test
     public void changesOfLargeFleetWaitWhileEnginesHaveRoom() {
         start(SLOTS / 2);
-        assertEquals(ChangeDelay.delayMs(3, false, servers), ChangeDelay.RELAXED_MS);
+        assertEquals(ChangeDelay.delayMs(3, () -> false, servers), ChangeDelay.RELAXED_MS);
     }
 
     @Test
     public void changesAreUrgentWhileRequestsWaitOrAnEngineIsNearlyFull() {
-        assertEquals(ChangeDelay.delayMs(3, true, servers), ChangeDelay.URGENT_MS);
+        assertEquals(ChangeDelay.delayMs(3, () -> true, servers), ChangeDelay.URGENT_MS);
         start(SLOTS - 2);
-        assertEquals(ChangeDelay.delayMs(3, false, servers), ChangeDelay.URGENT_MS);
+        assertEquals(ChangeDelay.delayMs(3, () -> false, servers), ChangeDelay.URGENT_MS);
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -102,14 +102,18 @@
     void start() {
         forwarder.scheduler.schedule(Math.max(1, remainingMs()), this::onDeadline);
         clientResponse.onClientDisconnect(this::onClientDisconnect);
-        crashGuard.refusal().ifPresentOrElse(this::refuse, () -> quotaTokens.acquire(this::prepareTurn, this::refuse));
+        crashGuard
+                .refusal()
+                .ifPresentOrElse(
+                        this::refuse, () -> quotaTokens.acquire(() -> continueWithToken(turn::prepare), this::refuse));
     }
 
-    private void prepareTurn() {
+    /** Goes on with a token of the quota, which is given back if the exchange has ended meanwhile. */
+    private void continueWithToken(Runnable next) {
         if (ended) {
             quotaTokens.releaseUnused(possibleExecutions);
         } else {
-            turn.prepare();
+            next.run();
         }
     }
 
@@ -500,20 +504,12 @@
         if (route.repeatable()
                 && possibleExecutions < route.maxAttempts()
                 && remainingMs() > MIN_REMAINING_TO_SEND_MS) {
-            quotaTokens.acquire(this::resend, refusal -> fail(502, refusal.reason()));
+            quotaTokens.acquire(() -> continueWithToken(this::send), refusal -> fail(502, refusal.reason()));
         } else {
             fail(502, "no complete response from the backend server");
         }
     }
 
-    private void resend() {
-        if (ended) {
-            quotaTokens.releaseUnused(possibleExecutions);
-        } else {
-            send();
-        }
-    }
-
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
         serverMs += forwarder.clock.nowMs() - sentMs;
--- a/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/peers/DigestExchange.java
@@ -153,7 +153,11 @@
 
     /** Called when this host's load on a backend server has changed; changes that follow each other are sent together. */
     void loadChanged() {
-        sendWithin(ChangeDelay.delayMs(group.count(), anyWaiting.getAsBoolean(), servers));
+        boolean urgentPending = changeDueMs <= clock.nowMs() + lastDatagrams * ChangeDelay.URGENT_MS;
+        // Called with each start and end of a request, so that the delay is computed only if it can matter.
+        if (!urgentPending) {
+            sendWithin(ChangeDelay.delayMs(group.count(), anyWaiting, servers));
+        }
     }
 
     private void sendWithin(long singleDelayMs) {
