--- a/review/lib2/bench2.py
+++ b/review/lib2/bench2.py
@@ -544,6 +544,13 @@
     hosts = []
     result = 2
 
+    def on_term(number, frame):
+        for h in hosts:
+            h.kill()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, on_term)
+
     async def run():
         return await asyncio.wait_for(scenario(temp, record, hosts), limit_s)
 
