--- a/gateway/src/main/java/org/celerygw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/celerygw/gateway/Gateway.java
@@ -250,25 +250,16 @@
      * @param loop the event loop on which the whole host runs
      * @param settings the host's settings
      * @param factory creates the adapter to the platform
-     * @return the host once all its listeners are bound; fails when one of them cannot be bound
+     * @return the host once all its listeners are bound; fails when one of them cannot be bound or a setting cannot be applied
      */
     public static Future<Gateway> start(Vertx vertx, EventLoop loop, GatewaySettings settings, AdapterFactory factory) {
         Promise<Gateway> promise = Promise.promise();
         loop.execute(() -> {
-            Gateway gateway = new Gateway(loop, settings, factory);
-            gateway.listen().onComplete(r -> {
-                if (r.succeeded()) {
-                    gateway.sweep();
-                    gateway.cleanUp();
-                    LOG.atInfo()
-                            .addKeyValue("host", settings.host())
-                            .addKeyValue("zone", settings.zone())
-                            .log("host: listening");
-                    promise.complete(gateway);
-                } else {
-                    promise.fail(r.cause());
-                }
-            });
+            try {
+                new Gateway(loop, settings, factory).begin(promise);
+            } catch (RuntimeException e) {
+                promise.tryFail(e);
+            }
         });
         return promise.future();
     }
@@ -349,6 +340,22 @@
                 .nextDouble());
     }
 
+    private void begin(Promise<Gateway> promise) {
+        listen().onComplete(r -> {
+            if (r.succeeded()) {
+                sweep();
+                cleanUp();
+                LOG.atInfo()
+                        .addKeyValue("host", settings.host())
+                        .addKeyValue("zone", settings.zone())
+                        .log("host: listening");
+                promise.complete(this);
+            } else {
+                promise.fail(r.cause());
+            }
+        });
+    }
+
     private Future<Void> listen() {
         GatewaySettings.Address clientAddress = settings.clientAddress();
         GatewaySettings.Address readinessAddress = settings.readinessAddress();
