Log the events of kept streams that can be resumed before they are passed on

Cause: a turn was stored at its end only, by the host that ended it, with the events that this host had seen.

Change: StreamLog, a write-ahead log in rows of its own beside the program's, holds what each attempt is given; EventLog writes it before the events are passed on, in parts of at least 50 ms. Who resumes a stream reads the log up to the event that the client names, stores the turn with it, and refuses as not run (503) what the log does not tell. An attempt's place is the key of its first row, inserted by condition, so that late writes and attempts side by side cannot mix. Where the store does not answer for 1 s, the rest of a stream is passed on unlogged and cannot be resumed. On related paths: an event that was never sent, and a last event on a route whose streams cannot be resumed, left the same gap; both are refused. Streams of other routes are passed on as before.

--- a/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
+++ b/core/src/main/java/org/celerygw/core/gen/turns/Turns.java
@@ -46,6 +46,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_celerygw_turns_TurnRow_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_turns_AttemptLog_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_turns_AttemptLog_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_celerygw_turns_LoggedEvent_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_celerygw_turns_LoggedEvent_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -66,8 +76,12 @@
       "\005turns\030\002 \003(\t\"\211\001\n\007TurnRow\022\026\n\016parent_progr" +
       "am\030\001 \001(\t\022\023\n\013parent_turn\030\002 \001(\t\022\r\n\005input\030\003" +
       " \001(\014\022\016\n\006output\030\004 \001(\014\022\016\n\006server\030\005 \001(\t\022\020\n\010" +
-      "ended_ms\030\006 \001(\003\022\020\n\010customer\030\007 \001(\tB\037\n\033org." +
-      "celerygw.core.gen.turnsP\001b\006proto3"
+      "ended_ms\030\006 \001(\003\022\020\n\010customer\030\007 \001(\t\"a\n\nAtte" +
+      "mptLog\022\017\n\007attempt\030\001 \001(\t\022\025\n\rresumed_after" +
+      "\030\002 \001(\003\022+\n\006events\030\003 \003(\0132\033.celerygw.turns." +
+      "LoggedEvent\"\'\n\013LoggedEvent\022\n\n\002id\030\001 \001(\003\022\014" +
+      "\n\004data\030\002 \001(\014B\037\n\033org.celerygw.core.gen.tu" +
+      "rnsP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -97,6 +111,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_celerygw_turns_TurnRow_descriptor,
         new java.lang.String[] { "ParentProgram", "ParentTurn", "Input", "Output", "Server", "EndedMs", "Customer", });
+    internal_static_celerygw_turns_AttemptLog_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_celerygw_turns_AttemptLog_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_turns_AttemptLog_descriptor,
+        new java.lang.String[] { "Attempt", "ResumedAfter", "Events", });
+    internal_static_celerygw_turns_LoggedEvent_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_celerygw_turns_LoggedEvent_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_celerygw_turns_LoggedEvent_descriptor,
+        new java.lang.String[] { "Id", "Data", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
+++ b/core/src/main/java/org/celerygw/core/turns/ExpiredProgramCleaner.java
@@ -76,6 +76,10 @@
             keysToRemove.add(k);
             keysToRemove.add(ProgramRowKeys.turnIndexRow(k.substring(turnPrefix.length(), k.lastIndexOf('/'))));
         });
+        rows.stream()
+                .map(Row::key)
+                .filter(k -> ProgramRowKeys.isStreamRow(program, k))
+                .forEach(keysToRemove::add);
         if (keysToRemove.size() <= MAX_REMOVALS_PER_TXN) {
             keysToRemove.add(key);
             keysToRemove.forEach(k -> changes.add(Txn.Change.remove(k)));
--- a/core/src/main/java/org/celerygw/core/turns/ProgramRowKeys.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramRowKeys.java
@@ -6,6 +6,7 @@
 /** Builds and parses row keys. All keys of a program share a prefix, so one range read returns all its rows. */
 final class ProgramRowKeys {
     static final String EXPIRY_PREFIX = "x/";
+    private static final String STREAM_INFIX = "s/";
     private static final int MAX_PLAIN_CHARS = 64;
     private static final int TIME_DIGITS = 13;
 
@@ -44,6 +45,21 @@
         return String.format("%st/%s/%03d", programPrefix(program), turn, part);
     }
 
+    /** Returns the common prefix of the keys of all rows that log a stream. */
+    static String streamPrefix(String program, String stream) {
+        return programPrefix(program) + STREAM_INFIX + stream + "/";
+    }
+
+    /** Returns the key of a row of an attempt's log; attempts and rows are numbered from 0. */
+    static String streamRow(String program, String stream, int attempt, int row) {
+        return String.format("%s%05d/%06d", streamPrefix(program, stream), attempt, row);
+    }
+
+    /** Returns whether a key of a program's row is one of a row that logs a stream. */
+    static boolean isStreamRow(String program, String key) {
+        return key.startsWith(programPrefix(program) + STREAM_INFIX);
+    }
+
     /** Returns the key of the row that holds the program of a turn. */
     static String turnIndexRow(String turn) {
         return "i/" + turn;
--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -42,6 +42,7 @@
     private final LinkedHashMap<String, CachedProgram> programs = new LinkedHashMap<>(256, 0.75f, true);
     private long cachedBytes;
     private final List<PartitionCircuitBreaker> breakers;
+    private final StreamLog streamLog;
     private long advanceReservationCount;
     private long storedTurns;
     private long turnsReservedAhead;
@@ -69,11 +70,21 @@
         this.scheduler = scheduler;
         this.rowBytes = rowBytes;
         this.cacheBytes = cacheBytes;
+        this.streamLog = new StreamLog(this, clock, scheduler, rowBytes);
         this.breakers = partitions.stream()
                 .map(p -> new PartitionCircuitBreaker(clock, scheduler, program -> writePending(program, false)))
                 .toList();
     }
 
+    /**
+     * Returns the log of the streams of the programs in this store.
+     *
+     * @return the log
+     */
+    public StreamLog streamLog() {
+        return streamLog;
+    }
+
     /**
      * Returns whether the partition that stores a program responds.
      *
@@ -522,6 +533,11 @@
                 update.turn, update.turn, 0, "", null, clock.nowMs() + SETTLE_RETRY_MS, result -> {}));
     }
 
+    /** Records whether a call about a program's rows had a result. */
+    void recordCall(CachedProgram program, boolean resultKnown) {
+        breaker(program).recordResult(resultKnown);
+    }
+
     private PartitionCircuitBreaker breaker(CachedProgram program) {
         return breakers.get(program.partition);
     }
@@ -531,7 +547,7 @@
     }
 
     /** Returns the delay before the next call, with jitter so that hosts do not retry all at once after an outage. */
-    private long retryDelayMs(CachedProgram program) {
+    long retryDelayMs(CachedProgram program) {
         long pauseMs = breaker(program).pauseMs();
         return pauseMs / 2 + Math.floorMod(program.safeId.hashCode() + clock.nowMs(), pauseMs + 1);
     }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ProgramTurn.java
@@ -1,6 +1,6 @@
 package org.celerygw.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
+import com.google.common.primitives.Bytes;
 import org.celerygw.core.routes.Customer;
 import org.celerygw.core.routes.Route;
 import org.celerygw.core.routes.RouteKind;
@@ -30,6 +30,7 @@
     private final long budgetTokens;
     private Runnable onDeliveryAllowed = () -> {};
     private final StreamVersionGuard versionGuard;
+    private final EventLog eventLog;
     private boolean reservationConfirmed;
     private boolean reserved;
     private boolean settled;
@@ -44,6 +45,7 @@
         this.budgetTokens = exchange.metadata.hasBudget() ? exchange.metadata.budgetTokens() : UNLIMITED_BUDGET_TOKENS;
         this.reservationConfirmed = !reservesTokens;
         this.versionGuard = new StreamVersionGuard(exchange, program, reservesTokens, this::deliverIfAllowed);
+        this.eventLog = new EventLog(exchange, storesTurn);
     }
 
     /** Returns the program under which a turn of an exchange's program and customer is stored. */
@@ -92,6 +94,11 @@
         return storesTurn;
     }
 
+    /** Returns the log of the events that the client gets. */
+    EventLog eventLog() {
+        return eventLog;
+    }
+
     /** Returns the id of the server that ran the previous turn; empty when there is none. */
     String previousServerId() {
         return chain == null ? "" : chain.lastServer();
@@ -119,10 +126,7 @@
         if (chain == null || chain.history().length == 0) {
             return exchange.request.body();
         }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        body.writeBytes(chain.history());
-        body.writeBytes(exchange.request.body());
-        return body.toByteArray();
+        return Bytes.concat(chain.history(), exchange.request.body());
     }
 
     /** Reads the history and reserves tokens, then sends the request as soon as the budget allows it. */
@@ -131,7 +135,7 @@
             exchange.refuse(new Forwarder.Refusal(413, "the input is too large to be stored as a turn", 0));
             return;
         }
-        versionGuard.findOrigin(this::readChain);
+        versionGuard.findOrigin(() -> eventLog.readEarlier(this::readChain));
     }
 
     private void readChain() {
@@ -228,11 +232,12 @@
             return;
         }
         onDeliveryAllowed = () -> {};
+        eventLog.beginEnd();
         responseWriter.flush();
         RequestMetadata metadata = exchange.metadata;
         settled = true;
-        long tokens = tokens(responseWriter.deliveredEvents());
-        String softwareVersion = versionGuard.deliveredVersion(responseWriter.deliveredEvents());
+        long tokens = tokens(responseWriter.receivedEvents());
+        String softwareVersion = versionGuard.deliveredVersion(responseWriter.receivedEvents());
         if (!storesTurn) {
             if (reservesTokens) {
                 exchange.forwarder.programStore.settleLater(program, metadata.id(), tokens, softwareVersion);
@@ -240,7 +245,8 @@
             onSettled.run();
             return;
         }
-        StoredTurn storedTurn = storedTurn(chain == null ? TurnChain.EMPTY : chain, responseWriter.eventData());
+        byte[] output = Bytes.concat(eventLog.earlierOutput(), responseWriter.eventData());
+        StoredTurn storedTurn = storedTurn(chain == null ? TurnChain.EMPTY : chain, output);
         exchange.forwarder.programStore.settle(
                 program, metadata.id(), tokens, softwareVersion, storedTurn, exchange.deadlineMs(), result -> {
                     if (exchange.ended()) {
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import org.celerygw.core.events.EventSplitter;
@@ -24,6 +25,7 @@
     private final ProgramTurn turn;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private final ByteArrayOutputStream eventData = new ByteArrayOutputStream();
+    private final List<ServerSentEvent> pendingEvents = new ArrayList<>();
     private ByteArrayOutputStream pendingBlocks = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
     private @Nullable HttpHeaders headers;
@@ -40,12 +42,17 @@
     private long blockBytes;
 
     private boolean outOfMemory;
+    /** Incremented when the stream begins anew: what of an earlier run waits for the event log is not passed on. */
+    private int run;
+
+    private Runnable onAllDelivered = () -> {};
 
     ResponseWriter(Exchange exchange, ProgramTurn turn) {
         this.exchange = exchange;
         this.turn = turn;
         this.lastEventId = exchange.metadata.lastEventId();
         turn.onDeliveryAllowed(this::flush);
+        turn.eventLog().onReady(this::flush);
     }
 
     /** Returns the number of events sent to the client. */
@@ -150,6 +157,7 @@
         if (turn.storesTurn()) {
             eventData.writeBytes(event.data());
             eventData.write('\n');
+            pendingEvents.add(event);
         }
         receivedEvents++;
         pendingBlocks.writeBytes(event.bytes());
@@ -176,6 +184,8 @@
             receivedEvents = 0;
             eventData.reset();
             pendingBlocks.reset();
+            pendingEvents.clear();
+            run++;
         }
     }
 
@@ -214,18 +224,45 @@
             return;
         }
         turn.finishStream(this, () -> {
+            onAllDelivered = () -> {
+                start();
+                exchange.clientResponse.finish();
+                exchange.complete(status);
+            };
             flush();
-            start();
-            exchange.clientResponse.finish();
-            exchange.complete(status);
         });
     }
 
-    /** Sends all pending events to the client, the head before the first one, provided that delivery is allowed. */
+    /**
+     * Sends all pending events to the client, the head before the first one, provided that delivery is allowed and as soon
+     * as they are logged.
+     */
     void flush() {
-        if (pendingBlocks.size() == 0 || !turn.deliveryAllowed()) {
+        if (exchange.ended() || !turn.deliveryAllowed() || !turn.eventLog().isReady()) {
             return;
         }
+        if (pendingBlocks.size() == 0) {
+            Runnable task = onAllDelivered;
+            onAllDelivered = () -> {};
+            task.run();
+            return;
+        }
+        byte[] blocks = pendingBlocks.toByteArray();
+        // Not reset, which would keep a buffer of the largest part until the response ends.
+        pendingBlocks = new ByteArrayOutputStream();
+        List<ServerSentEvent> events = List.copyOf(pendingEvents);
+        pendingEvents.clear();
+        int eventsUntil = receivedEvents;
+        int currentRun = run;
+        turn.eventLog().append(events, () -> {
+            if (run == currentRun) {
+                deliver(blocks, eventsUntil);
+            }
+            flush();
+        });
+    }
+
+    private void deliver(byte[] blocks, int eventsUntil) {
         start();
         if (exchange.ended()) {
             return;
@@ -233,10 +270,7 @@
         if (exchange.firstByteMs() == 0) {
             exchange.recordFirstByte();
         }
-        byte[] blocks = pendingBlocks.toByteArray();
-        // Not reset, which would keep a buffer of the largest part until the response ends.
-        pendingBlocks = new ByteArrayOutputStream();
-        deliveredEvents = receivedEvents;
+        deliveredEvents = eventsUntil;
         releaseBlocks();
         exchange.pacer.sendBody(blocks);
     }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -152,7 +152,8 @@
                         route("/short/", RouteKind.UNSAFE, 200, false, false),
                         route("/resume/", RouteKind.STREAMING, 2_000, true, false),
                         route("/stream/", RouteKind.STREAMING, 2_000, false, false),
-                        route("/turn/", RouteKind.STREAMING, 2_000, false, true)),
+                        route("/turn/", RouteKind.STREAMING, 2_000, false, true),
+                        route("/kept/", RouteKind.STREAMING, 4_000, true, true)),
                 List.of(new Service("s", 10, true, ENGINE_SLOTS, 3, 0)),
                 new RouteTable.Limits(16_000, 100_000, 1_000, 10_000),
                 customers);
