Let SIGHUP change nothing in celerygwd, and a stop during its start be planned

Change: ProcessSignals, in core, serves both programs and is installed first. The daemon logs that its settings are read at the start only; a stop that comes before it has started is carried out then, a second one ends it at once, as before.

--- a/daemon/src/main/java/org/celerygw/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/celerygw/daemon/DaemonProcess.java
@@ -8,22 +8,24 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.celerygw.core.error.ErrorCode;
 import org.celerygw.core.error.GatewayException;
+import org.celerygw.core.helper.ProcessSignals;
 import org.celerygw.daemon.settings.Settings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 /** Runs one daemon until it is stopped by a signal or fenced by another host. */
 final class DaemonProcess {
     private static final Logger LOG = LoggerFactory.getLogger(DaemonProcess.class);
 
     private final Settings settings;
+    private final ProcessSignals signals;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CountDownLatch exited = new CountDownLatch(1);
     private volatile int exitCode;
 
-    DaemonProcess(Settings settings) {
+    DaemonProcess(Settings settings, ProcessSignals signals) {
         this.settings = settings;
+        this.signals = signals;
     }
 
     /** Runs the daemon until it ends and returns the exit code of the process: 0 after a graceful stop. */
@@ -37,7 +39,7 @@
                     .toCompletionStage()
                     .toCompletableFuture()
                     .get();
-            installSignalHandlers(daemon);
+            signals.deliverTo(() -> requestStop(daemon), DaemonProcess::logUnsupportedReload);
             daemon.stopped().onComplete(r -> exit(r.succeeded() ? 0 : ErrorCode.NOT_OWNER.exitCode()));
             exited.await();
             return exitCode;
@@ -49,13 +51,8 @@
         }
     }
 
-    private void installSignalHandlers(Daemon daemon) {
-        Signal.handle(new Signal("TERM"), signal -> onSignal(daemon));
-        Signal.handle(new Signal("INT"), signal -> onSignal(daemon));
-    }
-
     /** Starts a graceful stop on the first signal; on the second, exits at once and logs how many requests are cut off. */
-    private void onSignal(Daemon daemon) {
+    private void requestStop(Daemon daemon) {
         if (stopping.compareAndSet(false, true)) {
             LOG.info("stop: received a signal; stopping gracefully.");
             daemon.stop().onComplete(r -> exit(0));
@@ -67,6 +64,10 @@
         exit(1);
     }
 
+    private static void logUnsupportedReload() {
+        LOG.info("settings: received SIGHUP; the settings file is read at the start only, so that nothing changes.");
+    }
+
     private void exit(int code) {
         exitCode = code;
         exited.countDown();
--- a/daemon/src/main/java/org/celerygw/daemon/Main.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Main.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.celerygw.core.helper.ProcessSignals;
 import org.celerygw.daemon.settings.Settings;
 import org.celerygw.daemon.settings.SettingsException;
 
@@ -24,7 +25,8 @@
      * @param args the command line: an optional {@code --check} and the path of the settings file
      */
     public static void main(String[] args) {
-        System.exit(run(args, System.out, System.err, settings -> new DaemonProcess(settings).run()));
+        ProcessSignals signals = ProcessSignals.install();
+        System.exit(run(args, System.out, System.err, settings -> new DaemonProcess(settings, signals).run()));
     }
 
     static int run(String[] args, PrintStream out, PrintStream err, ToIntFunction<Settings> starter) {
