Find status lines with any status where a response has run into another

Cause: the search for a status line in reason phrases, header fields and bodies knew sound statuses only. Evidence: the test. Change: StatusLine tells sound statuses from others for the decoder, and finds a status line with a code of any form.

--- a/gateway/src/main/java/org/celerygw/gateway/net/SplicedBodyDetector.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/SplicedBodyDetector.java
@@ -1,7 +1,7 @@
 package org.celerygw.gateway.net;
 
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Pattern;
+import org.celerygw.core.helper.StatusLine;
 
 /**
  * Looks for the head of another response in a body: a server that breaks off in a body and then sends a second response
@@ -9,7 +9,6 @@
  */
 final class SplicedBodyDetector {
     private static final String STATUS_LINE_START = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}[ \\r]");
     private static final String LINE_END = "\r\n";
     /** How much of a head is searched for the field. */
     private static final int MAX_HEAD_CHARS = 4_096;
@@ -61,7 +60,7 @@
 
     /** Returns whether a status line and a header section that has the field begin in this part of the text. */
     private boolean isHead(String text, int start, int limit) {
-        if (!STATUS_LINE.matcher(text).region(start, limit).lookingAt()) {
+        if (!StatusLine.occursAt(text, start, limit)) {
             return false;
         }
         statusLines++;
--- a/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/StrictResponseDecoder.java
@@ -11,15 +11,13 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.util.List;
-import java.util.regex.Pattern;
+import org.celerygw.core.helper.StatusLine;
 
 /**
  * Decodes responses, rejects malformed heads and those that {@link ResponseValidator} rejects, and knows whether it holds
  * the beginning of a response, which would become the beginning of the next one.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
-    private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d{2}");
-
     private boolean inHead;
     private boolean headRequest;
 
@@ -50,7 +48,7 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         inHead = true;
-        if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+        if (!StatusLine.isStatus(initialLine[1])) {
             throw new IllegalArgumentException("status code that has not three digits or no class");
         }
         return super.createMessage(initialLine);
--- a/gateway/src/test/java/org/celerygw/gateway/forward/BrokenRelayTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/BrokenRelayTest.java
@@ -99,6 +99,17 @@
         assertEquals(taken, List.of());
     }
 
+    /** Guards against a status that the protocol does not have and that a peer gets as the server's. */
+    @Test
+    public void unsoundStatusIsNotPassedOnToAPeer() throws Exception {
+        resets = false;
+        for (String status :
+                List.of("000", "001", "099", "600", "999", "1000", "-01", "2", "0200", "+200", "2xx", "")) {
+            answer = WITH_LENGTH.replace("200 OK", status + " Bad");
+            assertEquals(send(), "", status);
+        }
+    }
+
     /** A whole response is passed on as one. */
     @Test
     public void wholeResponseIsPassedOnAsWhole() throws Exception {
