End a batch of kept turns before it exceeds a transaction

Cause: the size of a batch was looked at before the turn was added that makes it too large. Change: it is looked at with it.

ProgramStoreTest.longTurnsThatWaitTogetherAreWrittenInTransactionsThatTheStoreTakes: failed before, UNAVAILABLE for a turn.

--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -435,8 +435,11 @@
         }
         UpdateBatch batch = new UpdateBatch(program, rowBytes, clock.nowMs());
         Iterator<PendingUpdate> waiting = program.pendingUpdates.iterator();
-        while (waiting.hasNext() && batch.updates.size() < MAX_BATCH_UPDATES && batch.historyBytes < MAX_BATCH_BYTES) {
+        while (waiting.hasNext() && batch.updates.size() < MAX_BATCH_UPDATES) {
             PendingUpdate update = waiting.next();
+            if (!batch.updates.isEmpty() && batch.historyBytes + update.historyBytes() > MAX_BATCH_BYTES) {
+                break;
+            }
             if (batch.tryAdd(update)) {
                 waiting.remove();
             } else if (budgetIsFresh) {
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -255,6 +255,23 @@
         assertEquals(history(readChain(secondHost, "p", "a")), input + "out\n");
     }
 
+    /** Guards against turns that wait together and are written in one transaction, which the store rejects as too large. */
+    @Test
+    public void longTurnsThatWaitTogetherAreWrittenInTransactionsThatTheStoreTakes() {
+        SizeLimitedTable table = new SizeLimitedTable(partitions.get(0));
+        ProgramStore host = new ProgramStore(List.of((Table) table), "host", clock, clock, 60_000, 10_000_000);
+        List<UpdateResult> results = new ArrayList<>();
+        for (String turn : List.of("a", "b", "c", "d")) {
+            reserve(host, "p", turn, 1, 1_000);
+        }
+        for (String turn : List.of("a", "b", "c", "d")) {
+            StoredTurn longTurn = new StoredTurn("", "", new byte[399_000], bytes("out\n"), "s", clock.nowMs());
+            host.settle("p", turn, 1, "", longTurn, clock.nowMs() + 900, results::add);
+        }
+        clock.advance(1_000);
+        assertEquals(results, Collections.nCopies(4, UpdateResult.COMMITTED));
+    }
+
     @Test
     public void escapesIdsWithSeparatorsInRowKeys() {
         storeTurn(firstHost, "p/../q ", "a/b", TurnChain.EMPTY, "in", "out\n");
@@ -453,6 +470,38 @@
         }
     }
 
+    /** A table that takes transactions of at most 1 MB, with values in Base64, as the platform's store does. */
+    private static final class SizeLimitedTable implements Table {
+        private static final long MAX_TXN_BYTES = 1_000_000;
+        private final Table table;
+
+        SizeLimitedTable(Table table) {
+            this.table = table;
+        }
+
+        @Override
+        public void write(Txn txn, Consumer<TxnResult> callback) {
+            long bytes = txn.changes().stream()
+                    .mapToLong(c -> (c.value().size() + 2) / 3 * 4)
+                    .sum();
+            if (bytes > MAX_TXN_BYTES) {
+                callback.accept(TxnResult.UNKNOWN);
+            } else {
+                table.write(txn, callback);
+            }
+        }
+
+        @Override
+        public void read(List<String> keys, Consumer<ReadResult> callback) {
+            table.read(keys, callback);
+        }
+
+        @Override
+        public void scan(String prefix, String afterKey, int limit, Consumer<ReadResult> callback) {
+            table.scan(prefix, afterKey, limit, callback);
+        }
+    }
+
     /** A table that counts the calls to it. */
     private static final class CountingTable implements Table {
         private final Table table;
