Move what a send tells of its server's speed out of Exchange

No behaviour changes: SpeedMeasurement holds what BackendResponseHandler kept and recorded for SpeedLearner, the prefill times and the cache affinity.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -12,9 +12,7 @@
 import org.celerygw.core.routes.RouteKind;
 import org.celerygw.core.routes.RouteTable;
 import org.celerygw.core.routes.Service;
-import org.celerygw.core.servers.CacheAffinity;
 import org.celerygw.core.servers.PromptPart;
-import org.celerygw.core.servers.SpeedLearner;
 import org.celerygw.core.servers.TrackedServer;
 import org.celerygw.gateway.net.ClientRequest;
 import org.celerygw.gateway.net.ClientResponse;
@@ -386,11 +384,11 @@
     }
 
     /** Returns whether some servers may have the object of the request in their cache. */
-    private boolean isAboutObject() {
+    boolean isAboutObject() {
         return route.sticky() && !metadata.affinityKey().isEmpty();
     }
 
-    private List<TrackedServer> candidates(Service plainService) {
+    List<TrackedServer> candidates(Service plainService) {
         return forwarder.servers.byService(plainService.name(), turn.requiredVersion());
     }
 
@@ -521,21 +519,14 @@
     private final class BackendResponseHandler implements ResponseHandler {
         private final TrackedServer server;
         private final int eventsBefore;
-        private final int loadAtStart;
-        private final long missingTokens;
-        private long firstBodyMs;
+        private final SpeedMeasurement speed;
         private Verdict verdict = Verdict.UNSOUND;
         private int status;
 
         /** Created when the request has been counted in the server's load. */
         BackendResponseHandler(TrackedServer server) {
             this.server = server;
-            this.loadAtStart = server.load() - 1;
-            List<PromptPart> shared = sharedParts();
-            // Clients that name no tokens may name parts all the same.
-            long held = server.promptCache().heldTokens(shared, forwarder.clock.nowMs());
-            this.missingTokens = Math.max(0, metadata.promptTokens() - held);
-            server.promptCache().add(shared, forwarder.clock.nowMs());
+            this.speed = new SpeedMeasurement(Exchange.this, server);
             this.eventsBefore = responseWriter.receivedEvents();
         }
 
@@ -560,9 +551,7 @@
         @Override
         public void onBody(byte[] bytes) {
             lastReceivedMs = forwarder.clock.nowMs();
-            if (firstBodyMs == 0) {
-                firstBodyMs = lastReceivedMs - sentMs;
-            }
+            speed.onBody(lastReceivedMs - sentMs);
             if (serverFirstByteMs == 0) {
                 serverFirstByteMs = lastReceivedMs - sentMs;
             }
@@ -669,38 +658,9 @@
         /** Says nothing of a server whose response came through a peer, was held up by its client, or is no success. */
         private void recordSpeed() {
             boolean ofServer = !forwarder.links.prefersPeers(server) && !pacer.heldUpServer();
-            if (status / 100 != 2 || service == null || !ofServer) {
-                return;
+            if (status / 100 == 2 && service != null && ofServer) {
+                speed.record(service, lastReceivedMs - sentMs, responseWriter.receivedEvents() - eventsBefore);
             }
-            long nowMs = forwarder.clock.nowMs();
-            long wholeMs = lastReceivedMs - sentMs;
-            if (service.runsEngines()) {
-                if (!metadata.promptParts().isEmpty() && metadata.promptTokens() > 0) {
-                    forwarder
-                            .serverSelector
-                            .prefillTimes()
-                            .record(missingTokens, firstBodyMs / server.speed().slowness(nowMs));
-                }
-                int events = Math.max(0, responseWriter.receivedEvents() - eventsBefore - 1);
-                forwarder.speedLearner.recordEngineResponse(
-                        server,
-                        route.name(),
-                        loadAtStart,
-                        new SpeedLearner.EngineTimes(missingTokens, events, firstBodyMs, wholeMs),
-                        nowMs);
-            } else {
-                String work = isAboutObject() ? route.name() + recordWarmth(service, wholeMs, nowMs) : route.name();
-                forwarder.speedLearner.recordResponse(server, work, loadAtStart, wholeMs, nowMs);
-            }
-        }
-
-        /** Requests with and without a warm cache are different work. */
-        private CacheAffinity.Warmth recordWarmth(Service plainService, long wholeMs, long nowMs) {
-            return forwarder
-                    .serverSelector
-                    .cacheAffinity()
-                    .recordResponse(
-                            server, candidates(plainService), route.name(), metadata.affinityKey(), wholeMs, nowMs);
         }
 
         private void onShed() {
