Log the first part of each run of a kept stream before it is passed on

Cause: only the first part of an attempt was required to be logged. Change: the first part of each run is; one that is too large is replaced by a mark that makes the stream unknown to whoever resumes it. Nothing is appended while a part is written.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/EventLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/EventLog.java
@@ -15,8 +15,9 @@
  * Logs the events of a stream that is kept and can be resumed before the client gets them, so that a turn that the client
  * resumes, at this host or another, is kept whole. Logs nothing for other streams.
  *
- * <p>The first part must be logged. Later ones are held up for a while at most; after that, the rest of the stream is
- * passed on without being logged, and cannot be resumed.
+ * <p>The first part of a run must be logged, so that the log of what was given up before is not taken for what the client
+ * gets. Later ones are held up for a while at most; after that, the rest of the stream is passed on without being logged,
+ * and cannot be resumed.
  */
 final class EventLog {
     private static final Logger LOG = LoggerFactory.getLogger("request");
@@ -24,6 +25,10 @@
     private static final long MAX_HOLD_MS = 1_000;
 
     private static final long MIN_WRITE_INTERVAL_MS = 50;
+    /** An event that no client can name, so that the log does not tell what the client gets. */
+    private static final AttemptLog UNKNOWN_EVENTS = AttemptLog.newBuilder()
+            .addEvents(LoggedEvent.newBuilder().setId(-1))
+            .build();
 
     private final Exchange exchange;
     private final boolean resumes;
@@ -35,6 +40,8 @@
     private boolean writing;
     private boolean ending;
     private int rows;
+    private int run;
+    private int loggedRun = -1;
     private long nextWriteMs;
 
     EventLog(Exchange exchange, boolean storesTurn) {
@@ -95,7 +102,7 @@
 
     /** Returns whether events can be appended now. */
     boolean isReady() {
-        return !logs || (!writing && (ending || nowMs() >= nextWriteMs));
+        return !writing && (!logs || ending || nowMs() >= nextWriteMs);
     }
 
     /** No more than one part is to come: it is written without a pause. */
@@ -103,11 +110,17 @@
         ending = true;
     }
 
+    /** The client has received nothing, and the stream begins anew: what is being logged will not be passed on. */
+    void beginAnew() {
+        run++;
+    }
+
     /**
      * Logs events; must be ready.
      *
      * @param events the events, in order; may be empty
-     * @param onLogged called once, when the events may be passed to the client; not if the exchange ends before
+     * @param onLogged called once, when the events may be passed to the client; not if the exchange ends or the stream begins
+     *     anew before
      */
     void append(List<ServerSentEvent> events, Runnable onLogged) {
         if (!logs || events.isEmpty()) {
@@ -115,26 +128,25 @@
             return;
         }
         AttemptLog part = encode(events);
-        if (part.getSerializedSize() > StreamLog.MAX_PART_BYTES) {
-            giveUp("too large");
-            if (resumes && rows == 0) {
-                // The log of the attempts before must not be taken for what this one brings.
-                write(encode(List.of()), onLogged);
-            } else {
-                onLogged.run();
-            }
-        } else {
+        if (part.getSerializedSize() <= StreamLog.MAX_PART_BYTES) {
             write(part, onLogged);
+            return;
+        }
+        giveUp("too large");
+        if (loggedRun == run) {
+            onLogged.run();
+        } else {
+            write(UNKNOWN_EVENTS, onLogged);
         }
     }
 
     private void write(AttemptLog part, Runnable onLogged) {
-        Part current = new Part(rows == 0, onLogged);
+        Part current = new Part(onLogged);
         writing = true;
         nextWriteMs = nowMs() + MIN_WRITE_INTERVAL_MS;
         StreamLog.AttemptKey key = new StreamLog.AttemptKey(program, stream, earlier.attempts());
         rows = log().append(key, rows, part, exchange.deadlineMs(), current::onResult);
-        if (!current.isFirst) {
+        if (!current.required) {
             exchange.forwarder.scheduler.schedule(MAX_HOLD_MS, current::onHeldTooLong);
         }
     }
@@ -168,25 +180,26 @@
 
     /** A part that is being written. */
     private final class Part {
-        private final boolean isFirst;
+        private final int runAtStart = run;
+        private final boolean required = loggedRun != run;
         private final Runnable onLogged;
         private boolean passedOn;
 
-        Part(boolean isFirst, Runnable onLogged) {
-            this.isFirst = isFirst;
+        Part(Runnable onLogged) {
             this.onLogged = onLogged;
         }
 
         void onResult(UpdateResult result) {
-            writing = false;
             if (exchange.ended() || passedOn) {
                 return;
             }
-            if (result != UpdateResult.COMMITTED && isFirst) {
+            boolean stored = result == UpdateResult.COMMITTED;
+            if (stored) {
+                loggedRun = runAtStart;
+            } else if (required) {
                 exchange.endStoreUnavailable();
                 return;
-            }
-            if (result != UpdateResult.COMMITTED && logs) {
+            } else {
                 giveUp("not written");
             }
             passOn();
@@ -197,13 +210,16 @@
             if (!passedOn && !exchange.ended()) {
                 giveUp("the store does not answer");
                 passOn();
-                onReady.run();
             }
         }
 
         private void passOn() {
             passedOn = true;
-            onLogged.run();
+            writing = false;
+            if (runAtStart == run) {
+                onLogged.run();
+            }
+            onReady.run();
         }
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -42,8 +42,6 @@
     private long blockBytes;
 
     private boolean outOfMemory;
-    /** Incremented when the stream begins anew: what of an earlier run waits for the event log is not passed on. */
-    private int run;
 
     private Runnable onAllDelivered = () -> {};
 
@@ -185,7 +183,7 @@
             eventData.reset();
             pendingBlocks.reset();
             pendingEvents.clear();
-            run++;
+            turn.eventLog().beginAnew();
         }
     }
 
@@ -253,11 +251,8 @@
         List<ServerSentEvent> events = List.copyOf(pendingEvents);
         pendingEvents.clear();
         int eventsUntil = receivedEvents;
-        int currentRun = run;
         turn.eventLog().append(events, () -> {
-            if (run == currentRun) {
-                deliver(blocks, eventsUntil);
-            }
+            deliver(blocks, eventsUntil);
             flush();
         });
     }
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ResumedTurnTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ResumedTurnTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.celerygw.core.turns.StreamLog;
 import org.celerygw.standin.Fault;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -32,6 +33,10 @@
     private final List<String> bodies = new CopyOnWriteArrayList<>();
     private volatile int breakAfter;
     private volatile long eventMs;
+    private volatile long firstEventMs;
+    /** The number of the run whose events are too large to be logged; 0 for none. */
+    private volatile int largeRun;
+
     private List<ScriptedServer> engines;
     private String program;
 
@@ -41,6 +46,8 @@
         runs.set(0);
         breakAfter = EVENTS;
         eventMs = 40;
+        largeRun = 0;
+        firstEventMs = 0;
         program = "p";
         engines = List.of(startServer(this::runTurn), startServer(this::runTurn));
     }
@@ -52,6 +59,8 @@
         out.write(("HTTP/1.1 200 OK\r\nid: " + request.header("id")
                         + "\r\nsigned: x\r\ntransfer-encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+        Thread.sleep(firstEventMs);
         String last = request.header("last-event");
         int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
         for (int i = first; i <= EVENTS; i++) {
@@ -61,7 +70,8 @@
                 socket.close();
                 return;
             }
-            writeChunk(out, "id: " + i + "\ndata: r" + run + "e" + i + "\n\n");
+            String text = "r" + run + "e" + i + (run == largeRun ? "x".repeat(StreamLog.MAX_PART_BYTES) : "");
+            writeChunk(out, "id: " + i + "\ndata: " + text + "\n\n");
             out.flush();
             Thread.sleep(eventMs);
         }
@@ -221,6 +231,26 @@
         assertTrue(refused.startsWith("HTTP/1.1 503"), refused);
     }
 
+    /**
+     * Guards against a run that is given up while its first events are logged, and that is then taken for the one which the
+     * client received: its events were too large to be logged.
+     */
+    @Test
+    public void logOfARunThatWasGivenUpIsNotTakenForTheNextOne() throws Exception {
+        storeFaults.setDelayMs(100);
+        // The reservation is confirmed by then, and the first event is being logged when the engine breaks off.
+        firstEventMs = 400;
+        breakAfter = 1;
+        eventMs = 20;
+        largeRun = 2;
+        Received received = new Received();
+        receive(received, turn("a", "", "first,"), 3);
+        assertEquals(runs.get(), 2);
+        startOtherHost();
+        String refused = sendRequest(turn("b", "resumes: a\r\nlast-event: 1\r\n", "first,"));
+        assertTrue(refused.startsWith("HTTP/1.1 503"), refused);
+    }
+
     /** Clients break off and resume at random moments, at the same host or another one, while engines break off too. */
     @Test
     public void turnsAreKeptAsTheirClientsReceivedThem() throws Exception {
@@ -231,6 +261,7 @@
             String began = "s" + seed;
             program = "p" + seed;
             String id = began;
+            storeFaults.setDelayMs(20 * random.nextInt(3));
             breakAfter = 1 + random.nextInt(EVENTS);
             receive(received, turn(id, "", "first,"), 1 + random.nextInt(EVENTS));
             for (int i = 0; !received.whole; i++) {
