--- a/core/src/main/java/org/celerygw/core/helper/package-info.java
+++ b/core/src/main/java/org/celerygw/core/helper/package-info.java
@@ -1,4 +1,4 @@
-/** Argument checks. */
+/** Small helpers without state of their own: argument checks, a bounded map, status lines, and the signals of a process. */
 @NullMarked
 package org.celerygw.core.helper;
 
