Join what splits rows, scans and retries twice

Cause: the write-ahead log of streams came with its own splitting of values into rows, its own paging of scans and its own retries until a deadline, beside those of the kept turns.

Change: RowPieces splits and joins for both; ProgramStore.scanAll pages for loads and for the log, and ProgramStore.retryBefore retries for reads of chains, of stream versions and of the log, so that StreamLog needs no clock. A read of the log counts once for the circuit breaker of its partition, no longer once a page. Two tables of ProgramStoreTest share their forwarding.

--- a/core/src/main/java/org/celerygw/core/helper/package-info.java
+++ b/core/src/main/java/org/celerygw/core/helper/package-info.java
@@ -1,4 +1,4 @@
-/** Small helpers without state of their own: argument checks, a bounded map, status lines, and the signals of a process. */
+/** Small helpers: argument checks, a bounded map, status lines, and the signals of a process. */
 @NullMarked
 package org.celerygw.core.helper;
 
--- a/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
+++ b/core/src/main/java/org/celerygw/core/turns/ProgramStore.java
@@ -70,7 +70,7 @@
         this.scheduler = scheduler;
         this.rowBytes = rowBytes;
         this.cacheBytes = cacheBytes;
-        this.streamLog = new StreamLog(this, clock, scheduler, rowBytes);
+        this.streamLog = new StreamLog(this, rowBytes);
         this.breakers = partitions.stream()
                 .map(p -> new PartitionCircuitBreaker(clock, scheduler, program -> writePending(program, false)))
                 .toList();
@@ -251,7 +251,6 @@
         CachedProgram cached = cachedProgram(program);
         cached.table.read(List.of(ProgramRowKeys.programRow(cached.safeId)), result -> {
             breaker(cached).recordResult(result.ok());
-            long pauseMs = retryDelayMs(cached);
             if (result.ok()) {
                 StreamOrigin origin = StreamOrigin.UNAVAILABLE;
                 try {
@@ -263,9 +262,7 @@
                     // Also if the row cannot be decoded: the caller waits for it.
                     callback.accept(origin);
                 }
-            } else if (clock.nowMs() + pauseMs < deadlineMs) {
-                scheduler.schedule(pauseMs, () -> readStreamVersion(program, turn, deadlineMs, callback));
-            } else {
+            } else if (!retryBefore(deadlineMs, cached, () -> readStreamVersion(program, turn, deadlineMs, callback))) {
                 callback.accept(StreamOrigin.UNAVAILABLE);
             }
         });
@@ -296,10 +293,10 @@
             String program, String previousTurn, String customer, long deadlineMs, Consumer<TurnChain> callback) {
         CachedProgram cached = cachedProgram(program);
         ChainReader reader = new ChainReader(this, customer, chain -> {
-            long pauseMs = retryDelayMs(cached);
-            if (chain.status() == TurnChain.Status.UNAVAILABLE && clock.nowMs() + pauseMs < deadlineMs) {
-                scheduler.schedule(pauseMs, () -> readChain(program, previousTurn, customer, deadlineMs, callback));
-            } else {
+            boolean retried = chain.status() == TurnChain.Status.UNAVAILABLE
+                    && retryBefore(
+                            deadlineMs, cached, () -> readChain(program, previousTurn, customer, deadlineMs, callback));
+            if (!retried) {
                 callback.accept(chain);
             }
         });
@@ -370,31 +367,45 @@
     void load(CachedProgram program, Consumer<Boolean> callback) {
         program.loadCallbacks.add(callback);
         if (program.loadCallbacks.size() == 1) {
-            readPage(program, "", new ArrayList<>());
+            scanAll(program, ProgramRowKeys.programPrefix(program.safeId), result -> finishLoad(program, result));
+        }
+    }
+
+    private void finishLoad(CachedProgram program, Table.ReadResult result) {
+        boolean cached = false;
+        try {
+            if (result.ok()) {
+                cacheRows(program, result.rows());
+                cached = true;
+            }
+        } finally {
+            // Also if a row cannot be decoded: the next load begins only when no callback is left.
+            List<Consumer<Boolean>> callbacks = List.copyOf(program.loadCallbacks);
+            program.loadCallbacks.clear();
+            boolean ok = cached;
+            callbacks.forEach(c -> c.accept(ok));
         }
     }
 
-    private void readPage(CachedProgram program, String afterKey, List<Row> rows) {
-        program.table.scan(ProgramRowKeys.programPrefix(program.safeId), afterKey, SCAN_PAGE_ROWS, result -> {
+    /** Reads all rows of a program whose keys begin with a prefix, page by page. */
+    void scanAll(CachedProgram program, String prefix, Consumer<Table.ReadResult> callback) {
+        readPage(program, prefix, "", new ArrayList<>(), callback);
+    }
+
+    private void readPage(
+            CachedProgram program,
+            String prefix,
+            String afterKey,
+            List<Row> rows,
+            Consumer<Table.ReadResult> callback) {
+        program.table.scan(prefix, afterKey, SCAN_PAGE_ROWS, result -> {
             rows.addAll(result.rows());
             if (result.ok() && result.rows().size() >= SCAN_PAGE_ROWS) {
-                readPage(program, rows.get(rows.size() - 1).key(), rows);
+                readPage(program, prefix, rows.get(rows.size() - 1).key(), rows, callback);
                 return;
             }
             breaker(program).recordResult(result.ok());
-            boolean cached = false;
-            try {
-                if (result.ok()) {
-                    cacheRows(program, rows);
-                    cached = true;
-                }
-            } finally {
-                // Also if a row cannot be decoded: the next load begins only when no callback is left.
-                List<Consumer<Boolean>> callbacks = List.copyOf(program.loadCallbacks);
-                program.loadCallbacks.clear();
-                boolean ok = cached;
-                callbacks.forEach(c -> c.accept(ok));
-            }
+            callback.accept(new Table.ReadResult(result.ok(), rows));
         });
     }
 
@@ -549,8 +560,18 @@
         scheduler.schedule(retryDelayMs(program), () -> writePending(program, false));
     }
 
+    /** Schedules a retry after a pause; returns false, without a retry, if that would be after the deadline. */
+    boolean retryBefore(long deadlineMs, CachedProgram program, Runnable retry) {
+        long pauseMs = retryDelayMs(program);
+        boolean inTime = clock.nowMs() + pauseMs < deadlineMs;
+        if (inTime) {
+            scheduler.schedule(pauseMs, retry);
+        }
+        return inTime;
+    }
+
     /** Returns the delay before the next call, with jitter so that hosts do not retry all at once after an outage. */
-    long retryDelayMs(CachedProgram program) {
+    private long retryDelayMs(CachedProgram program) {
         long pauseMs = breaker(program).pauseMs();
         return pauseMs / 2 + Math.floorMod(program.safeId.hashCode() + clock.nowMs(), pauseMs + 1);
     }
--- a/core/src/main/java/org/celerygw/core/turns/ReceivedStream.java
+++ b/core/src/main/java/org/celerygw/core/turns/ReceivedStream.java
@@ -32,9 +32,9 @@
     public static final ReceivedStream NOTHING = new ReceivedStream(Status.KNOWN, new byte[0], 0);
 
     /**
-     * Joins the logs of a stream's attempts, in their order. Each is a prefix of what its attempt was given, which may be more than the
-     * client has received: the next attempt tells where it went on. A log that ends before the last event received does
-     * not tell all of them.
+     * Joins the logs of a stream's attempts, in their order. Each is a prefix of what its attempt was given, which may be
+     * more than the client has received: the next attempt tells where it went on. A log that ends before the last event
+     * received does not tell all of them.
      */
     static ReceivedStream of(List<AttemptLog> attempts, long lastEventId) {
         if (attempts.isEmpty()) {
--- a/core/src/main/java/org/celerygw/core/turns/StreamLog.java
+++ b/core/src/main/java/org/celerygw/core/turns/StreamLog.java
@@ -4,14 +4,11 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.celerygw.core.gen.turns.AttemptLog;
 import org.celerygw.core.store.Row;
-import org.celerygw.core.store.Table;
 import org.celerygw.core.store.Txn;
 import org.celerygw.core.store.TxnResult;
-import org.celerygw.core.time.Clock;
 
 /**
  * The write-ahead log of streams that are kept and can be resumed: holds what each client attempt was given of a stream,
@@ -25,17 +22,11 @@
     /** The largest part that a transaction can hold, in bytes of encoded events. */
     public static final int MAX_PART_BYTES = 400_000;
 
-    private static final int SCAN_PAGE_ROWS = 500;
-
     private final ProgramStore programStore;
-    private final Clock clock;
-    private final Scheduler scheduler;
     private final int rowBytes;
 
-    StreamLog(ProgramStore programStore, Clock clock, Scheduler scheduler, int rowBytes) {
+    StreamLog(ProgramStore programStore, int rowBytes) {
         this.programStore = programStore;
-        this.clock = clock;
-        this.scheduler = scheduler;
         this.rowBytes = rowBytes;
     }
 
@@ -66,12 +57,8 @@
      */
     public int append(
             AttemptKey attempt, int firstRow, AttemptLog part, long deadlineMs, Consumer<UpdateResult> callback) {
-        ByteString value = part.toByteString();
-        List<Txn.Change> rows = new ArrayList<>();
-        for (int offset = 0; offset < value.size(); offset += rowBytes) {
-            ByteString piece = value.substring(offset, Math.min(value.size(), offset + rowBytes));
-            rows.add(Txn.Change.put(attempt.row(firstRow + rows.size()), piece));
-        }
+        List<Txn.Change> rows =
+                RowPieces.split(part.toByteString(), rowBytes, number -> attempt.row(firstRow + number));
         insert(programStore.cachedProgram(attempt.program()), rows, deadlineMs, callback);
         return firstRow + rows.size();
     }
@@ -89,21 +76,13 @@
                 boolean stored = result.status() == TxnResult.Status.COMMITTED
                         || result.currentRows().stream().anyMatch(r -> r.value().equals(first.value()));
                 callback.accept(stored ? UpdateResult.COMMITTED : UpdateResult.UNAVAILABLE);
-            } else if (!retryLater(program, deadlineMs, () -> insert(program, rows, deadlineMs, callback))) {
+            } else if (!programStore.retryBefore(
+                    deadlineMs, program, () -> insert(program, rows, deadlineMs, callback))) {
                 callback.accept(UpdateResult.UNAVAILABLE);
             }
         });
     }
 
-    private boolean retryLater(CachedProgram program, long deadlineMs, Runnable retry) {
-        long pauseMs = programStore.retryDelayMs(program);
-        boolean inTime = clock.nowMs() + pauseMs < deadlineMs;
-        if (inTime) {
-            scheduler.schedule(pauseMs, retry);
-        }
-        return inTime;
-    }
-
     /**
      * Reads what a client has received of a stream; retries until the deadline while the store is unavailable.
      *
@@ -117,37 +96,21 @@
             String program, String stream, long lastEventId, long deadlineMs, Consumer<ReceivedStream> callback) {
         CachedProgram cached = programStore.cachedProgram(program);
         String prefix = ProgramRowKeys.streamPrefix(cached.safeId, ProgramRowKeys.safeId(stream));
-        readPage(cached, prefix, new ArrayList<>(), result -> {
+        programStore.scanAll(cached, prefix, result -> {
             if (result.ok()) {
                 callback.accept(decode(result.rows(), lastEventId));
-            } else if (!retryLater(
-                    cached, deadlineMs, () -> read(program, stream, lastEventId, deadlineMs, callback))) {
+            } else if (!programStore.retryBefore(
+                    deadlineMs, cached, () -> read(program, stream, lastEventId, deadlineMs, callback))) {
                 callback.accept(ReceivedStream.UNAVAILABLE);
             }
         });
     }
 
-    private void readPage(CachedProgram program, String prefix, List<Row> rows, Consumer<Table.ReadResult> callback) {
-        String afterKey = rows.isEmpty() ? "" : rows.get(rows.size() - 1).key();
-        program.table.scan(prefix, afterKey, SCAN_PAGE_ROWS, result -> {
-            programStore.recordCall(program, result.ok());
-            rows.addAll(result.rows());
-            if (result.ok() && result.rows().size() >= SCAN_PAGE_ROWS) {
-                readPage(program, prefix, rows, callback);
-            } else {
-                callback.accept(new Table.ReadResult(result.ok(), rows));
-            }
-        });
-    }
-
     private static ReceivedStream decode(List<Row> rows, long lastEventId) {
-        // Sorted by the ordinals in the keys.
-        TreeMap<String, ByteString> valuesByAttempt = new TreeMap<>();
-        rows.forEach(r ->
-                valuesByAttempt.merge(r.key().substring(0, r.key().lastIndexOf('/')), r.value(), ByteString::concat));
         List<AttemptLog> attempts = new ArrayList<>();
         try {
-            for (ByteString value : valuesByAttempt.values()) {
+            // Sorted by the ordinals in the keys.
+            for (ByteString value : RowPieces.join(rows).values()) {
                 attempts.add(AttemptLog.parseFrom(value));
             }
         } catch (InvalidProtocolBufferException e) {
--- a/core/src/main/java/org/celerygw/core/turns/TurnRowCodec.java
+++ b/core/src/main/java/org/celerygw/core/turns/TurnRowCodec.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -27,12 +26,8 @@
                 .setCustomer(turn.customer())
                 .build()
                 .toByteString();
-        List<Txn.Change> changes = new ArrayList<>();
-        int part = 0;
-        for (int offset = 0; offset < value.size(); offset += rowBytes) {
-            ByteString piece = value.substring(offset, Math.min(value.size(), offset + rowBytes));
-            changes.add(Txn.Change.put(ProgramRowKeys.turnRow(program, turnId, part++), piece));
-        }
+        List<Txn.Change> changes =
+                RowPieces.split(value, rowBytes, number -> ProgramRowKeys.turnRow(program, turnId, number));
         changes.add(Txn.Change.put(ProgramRowKeys.turnIndexRow(turnId), ByteString.copyFromUtf8(program)));
         return changes;
     }
@@ -40,16 +35,13 @@
     /** Returns the turns in a program's rows, by escaped id; turns that cannot be decoded are skipped. */
     static Map<String, StoredTurn> decode(String program, List<Row> rows) {
         String turnPrefix = ProgramRowKeys.programPrefix(program) + "t/";
-        Map<String, ByteString> valuesByTurn = new TreeMap<>();
-        rows.stream().filter(r -> r.key().startsWith(turnPrefix)).forEach(r -> {
-            String turnId = r.key().substring(turnPrefix.length(), r.key().lastIndexOf('/'));
-            valuesByTurn.merge(turnId, r.value(), ByteString::concat);
-        });
+        List<Row> turnRows =
+                rows.stream().filter(r -> r.key().startsWith(turnPrefix)).toList();
         Map<String, StoredTurn> turns = new TreeMap<>();
-        valuesByTurn.forEach((turnId, value) -> {
+        RowPieces.join(turnRows).forEach((key, value) -> {
             StoredTurn turn = parse(value);
             if (turn != null) {
-                turns.put(turnId, turn);
+                turns.put(key.substring(turnPrefix.length()), turn);
             }
         });
         return turns;
--- a/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/turns/ProgramStoreTest.java
@@ -434,14 +434,32 @@
         return count[0];
     }
 
+    /** A table that passes reads on to another one. */
+    private abstract static class ForwardingTable implements Table {
+        final Table table;
+
+        ForwardingTable(Table table) {
+            this.table = table;
+        }
+
+        @Override
+        public void read(List<String> keys, Consumer<ReadResult> callback) {
+            table.read(keys, callback);
+        }
+
+        @Override
+        public void scan(String prefix, String afterKey, int limit, Consumer<ReadResult> callback) {
+            table.scan(prefix, afterKey, limit, callback);
+        }
+    }
+
     /** A table that reports the outcome of one write as unknown and applies that write later, on request. */
-    private final class DelayedWriteTable implements Table {
-        private final Table table;
+    private final class DelayedWriteTable extends ForwardingTable {
         private boolean delayNextWrite;
         private Runnable delayedWrite = () -> {};
 
         DelayedWriteTable(Table table) {
-            this.table = table;
+            super(table);
         }
 
         void applyDelayedWrite() {
@@ -458,25 +476,14 @@
                 table.write(txn, callback);
             }
         }
-
-        @Override
-        public void read(List<String> keys, Consumer<ReadResult> callback) {
-            table.read(keys, callback);
-        }
-
-        @Override
-        public void scan(String prefix, String afterKey, int limit, Consumer<ReadResult> callback) {
-            table.scan(prefix, afterKey, limit, callback);
-        }
     }
 
     /** A table that takes transactions of at most 1 MB, with values in Base64, as the platform's store does. */
-    private static final class SizeLimitedTable implements Table {
+    private static final class SizeLimitedTable extends ForwardingTable {
         private static final long MAX_TXN_BYTES = 1_000_000;
-        private final Table table;
 
         SizeLimitedTable(Table table) {
-            this.table = table;
+            super(table);
         }
 
         @Override
@@ -490,16 +497,6 @@
                 table.write(txn, callback);
             }
         }
-
-        @Override
-        public void read(List<String> keys, Consumer<ReadResult> callback) {
-            table.read(keys, callback);
-        }
-
-        @Override
-        public void scan(String prefix, String afterKey, int limit, Consumer<ReadResult> callback) {
-            table.scan(prefix, afterKey, limit, callback);
-        }
     }
 
     /** A table that counts the calls to it. */
