--- a/gateway/src/test/java/org/celerygw/gateway/forward/ResumedTurnTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ResumedTurnTest.java
@@ -139,6 +139,13 @@
                 events);
     }
 
+    /** Resumes the turn that began as "a" until its end, and asserts that it is kept whole. */
+    private void resumeAtOtherHost(Received received, String id) throws Exception {
+        startOtherHost();
+        resume(received, id, "a", EVENTS + 1);
+        assertKeptWhole(received, id);
+    }
+
     private void assertKeptWhole(Received received, String turn) throws IOException {
         assertTrue(received.whole);
         assertEquals(received.lastId, EVENTS);
@@ -152,9 +159,7 @@
     public void turnThatIsResumedAtAnotherHostIsKeptWhole() throws Exception {
         Received received = new Received();
         receive(received, turn("a", "", "first,"), 3);
-        startOtherHost();
-        resume(received, "b", "a", EVENTS + 1);
-        assertKeptWhole(received, "b");
+        resumeAtOtherHost(received, "b");
     }
 
     @Test
@@ -162,9 +167,7 @@
         Received received = new Received();
         receive(received, turn("a", "", "first,"), 2);
         resume(received, "b", "a", 2);
-        startOtherHost();
-        resume(received, "c", "a", EVENTS + 1);
-        assertKeptWhole(received, "c");
+        resumeAtOtherHost(received, "c");
     }
 
     @Test
@@ -173,18 +176,14 @@
         breakAfter = 2;
         receive(received, turn("a", "", "first,"), 4);
         assertEquals(runs.get(), 2);
-        startOtherHost();
-        resume(received, "b", "a", EVENTS + 1);
-        assertKeptWhole(received, "b");
+        resumeAtOtherHost(received, "b");
     }
 
     @Test
     public void turnOfWhichOnlyTheEndIsMissingIsKeptWhole() throws Exception {
         Received received = new Received();
         receive(received, turn("a", "", "first,"), EVENTS);
-        startOtherHost();
-        resume(received, "b", "a", EVENTS + 1);
-        assertKeptWhole(received, "b");
+        resumeAtOtherHost(received, "b");
     }
 
     @Test
