--- a/review/src3/Host.java
+++ b/review/src3/Host.java
@@ -16,8 +16,10 @@
     private final Path logFile;
     private Process process;
 
+    /** Hosts are in turn in zona-a and zona-b. */
     Host(Path folder, int number, int storePort) throws IOException {
-        name = "front-zona-a-" + number;
+        String zone = number % 2 == 1 ? "zona-a" : "zona-b";
+        name = "front-" + zone + "-" + number;
         ip = "127.0.7." + number;
         front = freePort();
         ready = freePort();
@@ -28,10 +30,10 @@
         Files.writeString(
                 settings,
                 "nodeName = \"" + name + "\"\nrole = \"host\"\nmachineClass = \"front\"\nserves = [\"front\"]\nip = \"" + ip
-                        + "\"\nzone = \"zona-a\"\nregion = \"r\"\ninternalPorts = [" + internal + "," + (internal + 15)
+                        + "\"\nzone = \"" + zone + "\"\nregion = \"r\"\ninternalPorts = [" + internal + "," + (internal + 15)
                         + "]\nseedNodes = []\nbootstrap = true\nlossCounts = false\ndiscovery = \"platform\"\n"
                         + "entry = \"virtual_ip\"\nheartbeatMs = 1200\ncontracts = [\"base\",\"drain\",\"config\",\"cost\","
-                        + "\"recover\",\"agent\",\"stream\",\"engine\",\"platform\"]\n[zones]\nzona-a = \"r\"\n[listenAddrs]\n"
+                        + "\"recover\",\"agent\",\"stream\",\"engine\",\"platform\"]\n[zones]\nzona-a = \"r\"\nzona-b = \"r\"\n[listenAddrs]\n"
                         + "front = \"" + ip + ":" + front + "\"\nreadyAddr = \"" + ip + ":" + ready + "\"\n[limits]\n"
                         + "cpuShare = 0.75\ncores = 2\nmemoryMb = 300\nmaxFds = 8200\nlinkMbps = 1000.0\ndiskMb = 0\n"
                         + "[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\nseedLagS = 3\nreuseAfterS = 2\n"
--- a/review/src3/Poison.java
+++ b/review/src3/Poison.java
@@ -152,6 +152,8 @@
         beats.setDaemon(true);
         beats.start();
         startHosts(3);
+        // Longer than hosts need to hear of each other.
+        Thread.sleep(12_000);
         int sound = 0;
         for (int i = 0; i < TIMES; i++) {
             sendLater(i, PATH, "bad" + i, true);
--- a/review/src3/Run.java
+++ b/review/src3/Run.java
@@ -9,6 +9,7 @@
                         case "smuggled" -> new Smuggled(args[1]);
                         case "stop-stream" -> new StopStream(args[1]);
                         case "long-chain" -> new LongChain(args[1]);
+                        case "budgets" -> new Budgets(args[1]);
                         case "poison" -> new Poison(args[1]);
                         default -> throw new IllegalArgumentException(args[0]);
                     };
