Review 3: a case from an entry, LOST of streams of two versions

Cause: a stream that began under an advance reservation is not recorded with its version, and the next such reservation names another one.

--- a/review/src3/Run.java
+++ b/review/src3/Run.java
@@ -10,6 +10,7 @@
                         case "stop-stream" -> new StopStream(args[1]);
                         case "long-chain" -> new LongChain(args[1]);
                         case "budgets" -> new Budgets(args[1]);
+                        case "versions" -> new Versions(args[1]);
                         case "poison" -> new Poison(args[1]);
                         default -> throw new IllegalArgumentException(args[0]);
                     };
