Accept a request late in a stop only if its own deadline comes first

Cause: GracefulStop.canAnswer admitted by twice (unsafe: four times) the route's average response time, until the end of the stop. The average of others says nothing about the one request that lasts; its own time limit does, and was not asked.

Whoever the connection belongs to (kept, new) makes no difference.

Change: from 2.3 s (two failed health checks; half of a short grace) a request is accepted only if its deadline is before the end of the stop. Until then, when a refusal may bring the client to this host again, the average still decides where the deadline is later. With a grace of 8 s a request of up to 5 s is never cut by the stop; cost: turns of 5 s that still come between 2.3 and 3.2 s are refused, at once and as not run. Each decision in a stop is logged with the request's id, the time left to it and to the host.

Why it works: what is accepted after that ends by its own deadline.

--- a/core/src/main/java/org/celerygw/core/scheduling/GracefulStop.java
+++ b/core/src/main/java/org/celerygw/core/scheduling/GracefulStop.java
@@ -1,10 +1,13 @@
 package org.celerygw.core.scheduling;
 
 /**
- * The phases of a host's graceful stop. At first it accepts connections, until the load balancer has had time to notice;
- * then it only answers what it has; and all answers are sent before the process is killed.
+ * The phases of a host's graceful stop. At first clients still come, since the load balancer has not noticed it; then the
+ * host only takes what is certain to end in time; and all answers are sent before the process is killed.
  */
 public final class GracefulStop {
+    /** Two health checks, a second apart, must fail. */
+    private static final long MAX_NOTICE_MS = 2_300;
+
     private static final long MAX_ACCEPT_MS = 3_200;
     /** For a process that is slow to end, and for answers on their way. */
     private static final long MARGIN_MS = 700;
@@ -14,9 +17,21 @@
 
     private static final int REPEATABLE_RESPONSE_TIME_FACTOR = 2;
 
+    private final long startedMs;
+    private final long noticedMs;
     private final long acceptUntilMs;
     private final long answerUntilMs;
 
+    /** What is known, when a request is about to be taken or sent, of whether it ends before the host does. */
+    public enum Prospect {
+        /** Its own deadline comes before the end of the stop. */
+        CERTAIN,
+        /** Requests of its route usually take less than is left, and other hosts are not used in place of this one yet. */
+        PROBABLE,
+        /** It may be cut off, so that its client is better served by another host. */
+        DOUBTFUL
+    }
+
     /**
      * Begins a stop.
      *
@@ -24,15 +39,37 @@
      * @param graceMs the time from now until the process may be killed, in ms
      */
     public GracefulStop(long startedMs, long graceMs) {
+        this.startedMs = startedMs;
+        this.noticedMs = startedMs + Math.min(MAX_NOTICE_MS, graceMs / 2);
         this.acceptUntilMs = startedMs + Math.min(MAX_ACCEPT_MS, graceMs / 2);
         this.answerUntilMs = startedMs + Math.max(graceMs / 2, graceMs - MARGIN_MS);
     }
 
     /**
-     * Returns whether connections are accepted and idle ones stay open.
+     * Returns how long ago the stop began.
+     *
+     * @param nowMs the current time, in ms
+     * @return the time since then, in ms
+     */
+    public long elapsedMs(long nowMs) {
+        return nowMs - startedMs;
+    }
+
+    /**
+     * Returns whether the load balancer has had time to notice the stop, so that new connections go to other hosts.
+     *
+     * @param nowMs the current time, in ms
+     * @return true if a client that is sent away now gets another host
+     */
+    public boolean isNoticed(long nowMs) {
+        return nowMs >= noticedMs;
+    }
+
+    /**
+     * Returns whether connections are accepted.
      *
      * @param nowMs the current time, in ms
-     * @return false once the load balancer has had time to notice
+     * @return false some time after the load balancer has noticed
      */
     public boolean acceptsConnections(long nowMs) {
         return nowMs < acceptUntilMs;
@@ -48,16 +85,21 @@
     }
 
     /**
-     * Returns whether a request that arrives now can probably be answered. One that cannot is better refused at once, so
-     * that its client goes to another host.
+     * Returns whether a request can be answered before the host ends. An average tells little about one request, so that
+     * it decides only while a refusal could bring the client to this host again.
      *
      * @param nowMs the current time, in ms
+     * @param deadlineMs the time at which the client or the route gives the request up, in ms
      * @param averageMs the average response time of its route, in ms
      * @param repeatable whether it could run once more elsewhere
-     * @return false if too little time is left
+     * @return what is known
      */
-    public boolean canAnswer(long nowMs, long averageMs, boolean repeatable) {
+    public Prospect prospect(long nowMs, long deadlineMs, long averageMs, boolean repeatable) {
+        if (deadlineMs <= answerUntilMs) {
+            return Prospect.CERTAIN;
+        }
         int factor = repeatable ? REPEATABLE_RESPONSE_TIME_FACTOR : UNREPEATABLE_RESPONSE_TIME_FACTOR;
-        return nowMs + factor * averageMs < answerUntilMs;
+        boolean probable = nowMs + factor * averageMs < answerUntilMs;
+        return probable && !isNoticed(nowMs) ? Prospect.PROBABLE : Prospect.DOUBTFUL;
     }
 }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -87,9 +87,8 @@
         this.routes = routes;
         this.customer = customer;
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
-        this.timeoutMs =
-                metadata.timeoutMs() < 0 ? route.timeoutMs() : Math.min(metadata.timeoutMs(), route.timeoutMs());
-        this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.answerUntilMs());
+        this.timeoutMs = metadata.timeoutMs(route);
+        this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.stopAdmission.answerUntilMs());
         this.crashGuard = new CrashGuard(this);
         this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
         this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -66,7 +66,7 @@
     private final Runnable onLoadChanged;
     private final Runnable onSuspectsChanged;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
-    private @Nullable GracefulStop stop;
+    final StopAdmission stopAdmission;
     private boolean pollScheduled;
 
     /**
@@ -122,6 +122,7 @@
         this.quarantine = quarantine;
         this.quotas = quotas;
         this.requestLog = requestLog;
+        this.stopAdmission = new StopAdmission(clock, responseTimes, requestLog);
         this.onLoadChanged = onLoadChanged;
         this.onSuspectsChanged = onSuspectsChanged;
         this.responseBytes = new ByteQuota(memoryBytes / 64 * HELD_RESPONSES_64THS);
@@ -145,8 +146,10 @@
                         new Refusal(404, "no matching route in configuration version " + routes.version(), 0));
                 return;
             }
-            if (stop != null && !canAnswer(stop, route.get())) {
-                refuse(response, metadata, new Refusal(503, "too little time left before this host has stopped", 0));
+            long deadlineMs = request.receivedAtMs() + metadata.timeoutMs(route.get());
+            Optional<Refusal> tooLate = stopAdmission.onArrival(metadata, route.get(), deadlineMs);
+            if (tooLate.isPresent()) {
+                refuse(response, metadata, tooLate.get());
                 return;
             }
             Authenticator.Decision decision =
@@ -179,7 +182,7 @@
      * @param begun the stop
      */
     public void beginStop(GracefulStop begun) {
-        stop = begun;
+        stopAdmission.begin(begun);
     }
 
     /** Answers all requests in flight, since the host has no time left: as not run, or as unknown once they were sent. */
@@ -187,15 +190,6 @@
         List.copyOf(exchanges).forEach(Exchange::endForStop);
     }
 
-    /** Returns the time by which each request that arrives now must have been answered, in ms. */
-    long answerUntilMs() {
-        return stop == null ? Long.MAX_VALUE : stop.answerUntilMs();
-    }
-
-    private boolean canAnswer(GracefulStop begun, Route route) {
-        return begun.canAnswer(clock.nowMs(), responseTimes.averageMs(route), route.repeatable());
-    }
-
     /** Counts a request that is sent to a server. */
     void requestStarted(TrackedServer server, @Nullable Service service, long tokens) {
         server.requestStarted(tokens);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -8,6 +8,8 @@
 import org.celerygw.core.limits.CustomerQuotas;
 import org.celerygw.core.quarantine.Fingerprint;
 import org.celerygw.core.routes.Customer;
+import org.celerygw.core.routes.Route;
+import org.celerygw.core.scheduling.GracefulStop.Prospect;
 import org.celerygw.core.servers.TrackedServer;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -127,6 +129,32 @@
                 .log("queue: a request is refused");
     }
 
+    /** Logs why a request is accepted or refused while this host stops. */
+    void logDuringStop(RequestMetadata metadata, Route route, Prospect prospect, StopTimes times) {
+        LOG.atInfo()
+                .addKeyValue("request", metadata.id())
+                .addKeyValue("route", route.name())
+                .addKeyValue("prospect", prospect)
+                .addKeyValue("stoppingMs", times.stoppingMs())
+                .addKeyValue("hostLeftMs", times.hostLeftMs())
+                .addKeyValue("leftMs", times.leftMs())
+                .addKeyValue("averageMs", times.averageMs())
+                .log(
+                        prospect == Prospect.DOUBTFUL
+                                ? "stop: a request may outlast this host and is refused"
+                                : "stop: a request is accepted");
+    }
+
+    /**
+     * The times that decide on a request during a graceful stop.
+     *
+     * @param stoppingMs the time since the stop began, in ms
+     * @param hostLeftMs the time until all requests must have been answered, in ms
+     * @param leftMs the time until the request's own deadline, in ms
+     * @param averageMs the average response time of the route, in ms
+     */
+    record StopTimes(long stoppingMs, long hostLeftMs, long leftMs, long averageMs) {}
+
     void logRefusal(@Nullable RequestMetadata metadata, Forwarder.Refusal refusal) {
         requestsEnded.labelValues("refused", Integer.toString(refusal.status())).inc();
         LOG.atWarn()
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestMetadata.java
@@ -1,6 +1,7 @@
 package org.celerygw.gateway.forward;
 
 import java.util.List;
+import org.celerygw.core.routes.Route;
 import org.celerygw.core.servers.PromptPart;
 
 /**
@@ -43,6 +44,16 @@
         promptParts = List.copyOf(promptParts);
     }
 
+    /**
+     * Returns how long the request may take.
+     *
+     * @param route its route
+     * @return the shorter one of the client's timeout and the route's, in ms from the arrival of the request
+     */
+    public long timeoutMs(Route route) {
+        return timeoutMs < 0 ? route.timeoutMs() : Math.min(timeoutMs, route.timeoutMs());
+    }
+
     /**
      * Returns whether the client resumes a stream of which it has received events.
      *
