End a connection in a stop with the response that began before it

Cause: ClientResponse.finish() closed only what its head had announced, and idle connections stayed open for 3.2 s, longer than the load balancer needs.

Change: in a stop, each connection closes after the response under way, also when the head did not say so, unless another request was received by then; that one is answered. Idle ones close once the balancer has had time to notice (2.3 s), so that the next request opens a connection to another host in place of being refused here; not in their first 200 ms without a request, so that the first request of a new connection or one that crosses is still answered. The listener stays open until 3.2 s as before. Cost: one new connection a client.

Test: StoppingHostTest.connectionEndsWithTheStreamThatBeganBeforeTheStop; failed before (the connection stayed open, read timed out), passes now.

--- a/gateway/src/main/java/org/celerygw/gateway/HostStop.java
+++ b/gateway/src/main/java/org/celerygw/gateway/HostStop.java
@@ -14,6 +14,8 @@
 final class HostStop {
     private static final Logger LOG = LoggerFactory.getLogger("host");
     private static final long CHECK_INTERVAL_MS = 50;
+    /** The first request of a new connection may still be on its way. */
+    private static final long MIN_IDLE_MS = 200;
 
     private final Clock clock;
     private final Scheduler scheduler;
@@ -52,8 +54,11 @@
         if (over) {
             endAll();
         }
+        if (stop.isNoticed(nowMs)) {
+            clientListeners.forEach(listener -> listener.closeIdle(MIN_IDLE_MS));
+        }
         if (!stop.acceptsConnections(nowMs)) {
-            clientListeners.forEach(HttpListener::closeIdle);
+            clientListeners.forEach(HttpListener::stopAccepting);
         }
         if (over || isDrained(nowMs)) {
             LOG.atInfo().log("host: stopped");
--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -116,11 +116,16 @@
         ChannelActions.close(ctx);
     }
 
-    /** Closes the connection once the client has taken what was sent. */
-    void closeWhenSent() {
-        whenSent(this::close);
+    /** Closes the connection once the client has taken what was sent, unless it has sent another request by then. */
+    void closeWhenIdle() {
+        whenSent(() -> {
+            if (!isBusy() && pipelined.isEmpty()) {
+                close();
+            }
+        });
     }
 
+    /** Returns whether the response is the last one on this connection. */
     boolean shouldClose() {
         return closeAfterResponse || listener.stopping();
     }
@@ -162,11 +167,14 @@
         if (close || closeAfterResponse) {
             pipelined.forEach(ReferenceCountUtil::release);
             pipelined.clear();
-            closeWhenSent();
+            whenSent(this::close);
             return;
         }
         ctx.channel().config().setAutoRead(true);
         processPipelined();
+        if (listener.stopping()) {
+            closeWhenIdle();
+        }
     }
 
     private void processPipelined() {
--- a/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/HttpListener.java
@@ -106,21 +106,32 @@
     }
 
     /**
-     * Sets whether each response closes its connection, as during a graceful stop.
+     * Sets whether connections close after a response, as during a graceful stop.
      *
-     * @param value true to send {@code Connection: close} with every response from now on
+     * @param value true to end each connection after the last request that was received on it; responses that begin from
+     *     now on say so with {@code Connection: close}
      */
     public void stopping(boolean value) {
         stopping = value;
     }
 
-    /** Closes connections that have no request in progress, once their last response is sent, and accepts no new ones. */
-    public void closeIdle() {
+    /** Accepts no more connections; open ones go on. */
+    public void stopAccepting() {
         if (serverChannel != null) {
             var unused = serverChannel.close();
         }
-        List<ClientChannel> idle = connections.stream().filter(c -> !c.isBusy()).toList();
-        idle.forEach(ClientChannel::closeWhenSent);
+    }
+
+    /**
+     * Closes idle connections, once their last response is sent.
+     *
+     * @param minIdleMs how long a connection must have been without a request, in ms
+     */
+    public void closeIdle(long minIdleMs) {
+        List<ClientChannel> idle = connections.stream()
+                .filter(c -> !c.isBusy() && c.idleMs() >= minIdleMs)
+                .toList();
+        idle.forEach(ClientChannel::closeWhenIdle);
     }
 
     /**
--- a/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
@@ -3,6 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -58,4 +61,51 @@
                         .count(),
                 0);
     }
+
+    /** Guards against LOST: a client that was not told to leave sent its next request to a host that was about to end. */
+    @Test
+    public void connectionEndsWithTheStreamThatBeganBeforeTheStop() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        startServer((request, out, socket) -> {
+            out.write(("HTTP/1.1 200 OK\r\nid: before\r\n" + SIGNED + "transfer-encoding: chunked\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            writeChunk(out, "id: 1\ndata: a\n\n");
+            stopped.await(5, TimeUnit.SECONDS);
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        });
+        try (Client client = new Client()) {
+            client.write(request("/stream/x", "before", 2_000));
+            assertEquals(client.read(20).substring(0, 12), "HTTP/1.1 200");
+            stopSince(0);
+            stopped.countDown();
+            assertTrue(client.readToEnd().endsWith("0\r\n\r\n"));
+        }
+    }
+
+    /** A client that keeps its connection. */
+    private final class Client implements AutoCloseable {
+        private final Socket socket = new Socket("127.0.0.1", listener.port());
+
+        Client() throws IOException {
+            socket.setSoTimeout(5_000);
+        }
+
+        void write(String requests) throws IOException {
+            socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String read(int bytes) throws IOException {
+            return new String(socket.getInputStream().readNBytes(bytes), StandardCharsets.ISO_8859_1);
+        }
+
+        /** Returns all that comes until the host closes the connection. */
+        String readToEnd() throws IOException {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
 }
