Answer all requests that were received before the last response

What callers see: a client that sends its next request before the response (pipelining) lost it when a stop began: the first response said "Connection: close", and what had been read whole behind it was dropped without an answer.

Cause: the last response was whichever one ended first in the stop, whatever had already been read from the connection.

Change: in a stop, a response says that the connection closes only if nothing was received behind it; the requests behind it are admitted or refused like all others, and the last response closes the connection.

Test: StoppingHostTest.requestsReceivedBeforeTheStopAreAllAnswered; before, the client got the first response and the end of the connection.

--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -125,9 +125,9 @@
         });
     }
 
-    /** Returns whether the response is the last one on this connection. */
+    /** Returns whether the response is the last one; while this host stops, what was received before is answered first. */
     boolean shouldClose() {
-        return closeAfterResponse || listener.stopping();
+        return closeAfterResponse || (listener.stopping() && pipelined.isEmpty());
     }
 
     void closeAfterResponse(boolean close) {
--- a/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
@@ -82,6 +82,32 @@
         }
     }
 
+    /** Guards against LOST: what was received behind a request was dropped when the response to that one said it closes. */
+    @Test
+    public void requestsReceivedBeforeTheStopAreAllAnswered() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        ScriptedServer server = startServer((request, out, socket) -> {
+            stopped.await(5, TimeUnit.SECONDS);
+            respond(out, "200 OK", request, SIGNED, "ok-" + request.header("id"));
+        });
+        try (Client client = new Client()) {
+            client.write(request("/unsafe/x", "one", 2_000) + request("/unsafe/x", "two", 2_000));
+            awaitRequests(server, 1);
+            stopSince(0);
+            stopped.countDown();
+            String responses = client.readToEnd();
+            assertTrue(responses.contains("ok-one") && responses.endsWith("ok-two"), responses);
+            assertEquals(responses.split("connection: close", -1).length, 2, responses);
+        }
+    }
+
+    private static void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
+        for (int i = 0; i < 500 && server.requests.size() < count; i++) {
+            Thread.sleep(10);
+        }
+        assertEquals(server.requests.size(), count);
+    }
+
     /** A client that keeps its connection. */
     private final class Client implements AutoCloseable {
         private final Socket socket = new Socket("127.0.0.1", listener.port());
