Pass no request on that follows the last response of a connection

What callers see: while a large last response ("Connection: close") was still being sent to a slow client, a request behind it was read, run at a server, and cut off when the connection closed. In a stop each response is the last.

Cause: the connection was only marked to close once all was sent; until then it went on to read and dispatch requests.

Change: from the end of the last response on, what is received is discarded (RFC 9112, section 9.6). It is still read, since closing a socket with unread bytes would reset it, and the end of the response could be lost.

Test: StoppingHostTest.requestBehindTheLastResponseIsNotPassedOn, a response of 3 MB whose client reads late; before, the second request reached the server and a second response began behind the first.

--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -50,7 +50,7 @@
     private long idleSinceMs;
     private boolean closeAfterResponse;
     private boolean processingPipelined;
-    private boolean rejected;
+    private boolean inputEnded;
 
     ClientChannel(HttpListener listener) {
         this.listener = listener;
@@ -84,7 +84,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject part = (HttpObject) message;
-        if (rejected) {
+        if (inputEnded) {
             ReferenceCountUtil.release(message);
         } else if (response != null) {
             pipelined.add(part);
@@ -165,8 +165,7 @@
             return;
         }
         if (close || closeAfterResponse) {
-            pipelined.forEach(ReferenceCountUtil::release);
-            pipelined.clear();
+            endInput();
             whenSent(this::close);
             return;
         }
@@ -177,6 +176,13 @@
         }
     }
 
+    /** Discards all further requests: the client was told that this connection closes, or cannot be understood. */
+    private void endInput() {
+        inputEnded = true;
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+    }
+
     private void processPipelined() {
         if (processingPipelined) {
             return;
@@ -261,7 +267,7 @@
 
     /** Answers an invalid request with an error status and closes the connection without reading any further. */
     private void reject(HttpResponseStatus status) {
-        rejected = true;
+        inputEnded = true;
         requestHead = null;
         discardBody();
         DefaultFullHttpResponse errorResponse = new DefaultFullHttpResponse(
--- a/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
@@ -101,6 +101,23 @@
         }
     }
 
+    /** Guards against LOST: a request behind the last response, which was still being sent, ran and was cut off. */
+    @Test
+    public void requestBehindTheLastResponseIsNotPassedOn() throws Exception {
+        String body = "x".repeat(3_000_000);
+        ScriptedServer server = startServer((request, out, socket) -> respond(out, "200 OK", request, SIGNED, body));
+        stopSince(0);
+        try (Client client = new Client()) {
+            client.write(request("/unsafe/x", "last", 2_000));
+            awaitRequests(server, 1);
+            Thread.sleep(300);
+            client.write(request("/unsafe/x", "late", 2_000));
+            Thread.sleep(300);
+            assertTrue(client.readToEnd().endsWith(body));
+        }
+        assertEquals(server.requests.size(), 1);
+    }
+
     private static void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
         for (int i = 0; i < 500 && server.requests.size() < count; i++) {
             Thread.sleep(10);
