Refuse in a stop what waits and may outlast the host

What callers saw: a request that waited (for an engine, a permit, a quota, the history of its program) when the stop began was sent late in it, ran, and got 504 at the end of the stop; it may then not be repeated.

Change: what is not sent yet is asked again before a send and at each step of the stop; one that may outlast the host is refused at once as not run, so that its client takes another host. The deadline of all requests is at most the end of the stop, for retries too. A request that may have run goes on as before.

--- a/gateway/src/main/java/org/celerygw/gateway/HostStop.java
+++ b/gateway/src/main/java/org/celerygw/gateway/HostStop.java
@@ -54,6 +54,7 @@
         if (over) {
             endAll();
         }
+        forwarder.refuseOutlasting();
         if (stop.isNoticed(nowMs)) {
             clientListeners.forEach(listener -> listener.closeIdle(MIN_IDLE_MS));
         }
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -53,7 +53,7 @@
     private final CrashGuard crashGuard;
     private final QuotaTokens quotaTokens;
     private final long timeoutMs;
-    private final long deadlineMs;
+    private final long requestDeadlineMs;
     private final Set<String> triedServerIds = new HashSet<>();
     private ResponseWriter responseWriter;
     private OriginPool.@Nullable PendingRequest pendingRequest;
@@ -88,7 +88,7 @@
         this.customer = customer;
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
         this.timeoutMs = metadata.timeoutMs(route);
-        this.deadlineMs = Math.min(request.receivedAtMs() + timeoutMs, forwarder.stopAdmission.answerUntilMs());
+        this.requestDeadlineMs = request.receivedAtMs() + timeoutMs;
         this.crashGuard = new CrashGuard(this);
         this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
         this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
@@ -115,11 +115,12 @@
     }
 
     long remainingMs() {
-        return deadlineMs - forwarder.clock.nowMs();
+        return deadlineMs() - forwarder.clock.nowMs();
     }
 
+    /** Returns when the request must have been answered: by its own deadline, and before this host ends. */
     long deadlineMs() {
-        return deadlineMs;
+        return Math.min(requestDeadlineMs, forwarder.stopAdmission.answerUntilMs());
     }
 
     /**
@@ -128,7 +129,7 @@
      */
     long latestSendMs() {
         long responseMs = RESPONSE_TIME_FACTOR * forwarder.responseTimes.averageMs(route) + STORE_TURN_MS;
-        return deadlineMs - Math.min(responseMs, timeoutMs / 2);
+        return deadlineMs() - Math.min(responseMs, timeoutMs / 2);
     }
 
     long elapsedMs() {
@@ -207,9 +208,9 @@
         if (ended || pendingRequest != null || engineWait != null) {
             return;
         }
-        Optional<Forwarder.Refusal> quarantined = crashGuard.refusal();
-        if (quarantined.isPresent()) {
-            endQuarantined(quarantined.get());
+        Optional<Forwarder.Refusal> refusal = refusalBeforeSend();
+        if (refusal.isPresent()) {
+            endRefused(refusal.get());
         } else if (service == null || remainingMs() <= MIN_REMAINING_TO_SEND_MS || sendCount >= MAX_SENDS) {
             endWithoutServer();
         } else if (service.runsEngines()) {
@@ -224,7 +225,7 @@
     void onEngineSelected(TrackedServer server, long waitedMs) {
         engineWait = null;
         queuedMs += waitedMs;
-        crashGuard.refusal().ifPresentOrElse(this::endQuarantined, () -> sendTo(server));
+        refusalBeforeSend().ifPresentOrElse(this::endRefused, () -> sendTo(server));
     }
 
     /** Called when this request will not get an engine in time. */
@@ -237,7 +238,25 @@
         }
     }
 
-    private void endQuarantined(Forwarder.Refusal refusal) {
+    /** Returns why the request must not be sent now; empty if it may be. */
+    private Optional<Forwarder.Refusal> refusalBeforeSend() {
+        return crashGuard.refusal().or(this::refusalForStop);
+    }
+
+    private Optional<Forwarder.Refusal> refusalForStop() {
+        return mayHaveExecuted()
+                ? Optional.empty()
+                : forwarder.stopAdmission.beforeSend(metadata, route, requestDeadlineMs);
+    }
+
+    /** Refuses the request, while this host stops, if it waits for something and may outlast the host. */
+    void refuseIfOutlastingHost() {
+        if (!ended) {
+            refusalForStop().ifPresent(this::refuse);
+        }
+    }
+
+    private void endRefused(Forwarder.Refusal refusal) {
         if (possibleExecutions > 0) {
             fail(502, refusal.reason());
         } else {
@@ -438,7 +457,11 @@
         if (pendingRequest != null && currentServer != null && silentMs() > SilenceTimeouts.STREAM_MS) {
             forwarder.originPools.closeIdle(currentServer);
         }
-        endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
+        if (deadlineMs() < requestDeadlineMs) {
+            endForStop();
+        } else {
+            endOutOfTime("deadline exceeded", BUSY_RETRY_AFTER_MS);
+        }
     }
 
     /** Answers the request, since this host has no time left. */
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Forwarder.java
@@ -185,6 +185,11 @@
         stopAdmission.begin(begun);
     }
 
+    /** Refuses the requests that wait for a server, a quota or the store and may outlast this host, which stops. */
+    public void refuseOutlasting() {
+        List.copyOf(exchanges).forEach(Exchange::refuseIfOutlastingHost);
+    }
+
     /** Answers all requests in flight, since the host has no time left: as not run, or as unknown once they were sent. */
     public void endAll() {
         List.copyOf(exchanges).forEach(Exchange::endForStop);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/StopAdmission.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/StopAdmission.java
@@ -41,6 +41,18 @@
         return refusal(prospect);
     }
 
+    /** Returns the refusal of an accepted request that no server has been sent yet; empty if it may still be sent. */
+    Optional<Forwarder.Refusal> beforeSend(RequestMetadata metadata, Route route, long deadlineMs) {
+        if (stop == null) {
+            return Optional.empty();
+        }
+        Prospect prospect = prospect(stop, route, deadlineMs);
+        if (prospect == Prospect.DOUBTFUL) {
+            log(stop, metadata, route, deadlineMs, prospect);
+        }
+        return refusal(prospect);
+    }
+
     private Prospect prospect(GracefulStop begun, Route route, long deadlineMs) {
         return begun.prospect(clock.nowMs(), deadlineMs, responseTimes.averageMs(route), route.repeatable());
     }
