Answer the calls in flight when a daemon's stop runs out of time

What callers saw of celerygwd: a call that outlasts the stop's time limit ended with a closed connection, which tells neither that the host has stopped nor that the call may be repeated with its key at another host.

Unlike on the platform, refusing them early is not needed here: each call has a key under which it may be sent again, whether it ran or not.

Change: when the limit passes, model and tool calls are answered with STOPPING, run state unknown; a stream that has begun ends with an error event.

--- a/daemon/src/main/java/org/celerygw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/celerygw/daemon/Daemon.java
@@ -509,6 +509,13 @@
                 return callerServer.requestsReceived();
             }
 
+            @Override
+            public void endCalls() {
+                callerServer.endCalls(refusalOutcome(
+                        ErrorCode.STOPPING,
+                        "This host has stopped; retry at another host with the same idempotency key."));
+            }
+
             @Override
             public void close() {
                 Future.fromCompletionStage(fleet.gossip().leave(), context)
--- a/daemon/src/main/java/org/celerygw/daemon/GracefulStop.java
+++ b/daemon/src/main/java/org/celerygw/daemon/GracefulStop.java
@@ -9,7 +9,7 @@
 /**
  * Stops a host without cutting off requests: reports not ready, keeps serving for the grace period in which the load
  * balancer detects that, hands over its slots, waits for the requests in flight and then until no request has arrived for
- * {@value #QUIET_MS} ms, and closes. When the time limit passes first, the remaining requests are cut off.
+ * {@value #QUIET_MS} ms, and closes. When the time limit passes first, the remaining calls are answered with an error.
  */
 final class GracefulStop {
     private static final Logger LOG = LoggerFactory.getLogger(GracefulStop.class);
@@ -49,6 +49,9 @@
         /** Returns the number of requests received since the start, whether they have ended or not. */
         long requestsReceived();
 
+        /** Answers the calls in flight with an error, since no time is left. */
+        void endCalls();
+
         /** Closes all ports and connections. */
         void close();
     }
@@ -107,7 +110,8 @@
         if (drained) {
             LOG.info("stop: all slots handed over and no requests in flight; closing.");
         } else {
-            LOG.warn("stop: the time limit has passed; cutting off {} requests.", steps.requestsInFlight());
+            LOG.warn("stop: the time limit has passed; ending {} requests.", steps.requestsInFlight());
+            steps.endCalls();
         }
         steps.close();
     }
--- a/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/celerygw/daemon/entry/CallerServer.java
@@ -11,6 +11,9 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -47,6 +50,7 @@
     private final AtomicInteger requestsInFlight = new AtomicInteger();
     private final AtomicLong requestsReceived = new AtomicLong();
     private final AtomicInteger openConnections = new AtomicInteger();
+    private final Set<Responder> openCalls = new LinkedHashSet<>();
     private final HttpServer server;
     private Configuration keysConfiguration = Configuration.getDefaultInstance();
     private CallerKeys activeKeys = new CallerKeys(keysConfiguration);
@@ -132,6 +136,15 @@
         return requestsReceived.get();
     }
 
+    /**
+     * Answers all model and tool calls in flight. A stream that has begun ends with an error event.
+     *
+     * @param failure the error to answer with
+     */
+    public void endCalls(Outcome failure) {
+        List.copyOf(openCalls).forEach(call -> call.end(failure));
+    }
+
     /**
      * Stops listening and closes all connections.
      *
@@ -256,6 +269,8 @@
         Responder httpResponder = new HttpResponder(context.response(), streaming, resumeBytes(request));
         Responder responder =
                 new MeteredResponder(httpResponder, dependencies.metrics(), dependencies.clock(), call.kind());
+        openCalls.add(responder);
+        context.addEndHandler(result -> openCalls.remove(responder));
         Runnable onDisconnect = dependencies.ownerClient().submit(call, responder);
         if (!context.response().ended()) { // submit can send an error synchronously
             context.response().closeHandler(v -> onDisconnect.run());
--- a/daemon/src/test/java/org/celerygw/daemon/GracefulStopTest.java
+++ b/daemon/src/test/java/org/celerygw/daemon/GracefulStopTest.java
@@ -24,6 +24,7 @@
         final CountDownLatch handoverStarted = new CountDownLatch(1);
         int requestsInFlight;
         long requestsReceived;
+        int endCallsCount;
         int closeCount;
 
         @Override
@@ -49,6 +50,12 @@
             return requestsReceived;
         }
 
+        @Override
+        public void endCalls() {
+            assertEquals(closeCount, 0);
+            endCallsCount++;
+        }
+
         @Override
         public void close() {
             closeCount++;
@@ -96,6 +103,7 @@
         tickAfter(100);
         tickAfter(500);
         assertEquals(steps.closeCount, 1);
+        assertEquals(steps.endCallsCount, 0);
         assertTrue(stop.hasBegun());
     }
 
@@ -106,5 +114,6 @@
         assertFalse(steps.closeCount > 0);
         tickAfter(1);
         assertEquals(steps.closeCount, 1);
+        assertEquals(steps.endCallsCount, 1);
     }
 }
