Discard what is pipelined behind a rejected request

Cause: reject() stopped reading, but not processPipelined(), which went on with what had already been received.

Change: rejecting ends the input as the last response does: what was received behind it is released, and what comes later is discarded.

The test client of StoppingHostTest moves to the fixture.

--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -267,7 +267,7 @@
 
     /** Answers an invalid request with an error status and closes the connection without reading any further. */
     private void reject(HttpResponseStatus status) {
-        inputEnded = true;
+        endInput();
         requestHead = null;
         discardBody();
         DefaultFullHttpResponse errorResponse = new DefaultFullHttpResponse(
--- a/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/ForwarderFixture.java
@@ -1,5 +1,6 @@
 package org.celerygw.gateway.forward;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -260,6 +261,13 @@
         return body.toString();
     }
 
+    static void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
+        for (int i = 0; i < 500 && server.requests.size() < count; i++) {
+            Thread.sleep(10);
+        }
+        assertEquals(server.requests.size(), count);
+    }
+
     static void respond(
             OutputStream out, String status, ScriptedServer.ReceivedRequest request, String headers, String body)
             throws IOException {
@@ -283,6 +291,33 @@
         out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** A client that keeps its connection. */
+    final class KeptClient implements AutoCloseable {
+        private final Socket socket = new Socket("127.0.0.1", listener.port());
+
+        KeptClient() throws IOException {
+            socket.setSoTimeout(5_000);
+        }
+
+        void write(String requests) throws IOException {
+            socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        String read(int bytes) throws IOException {
+            return new String(socket.getInputStream().readNBytes(bytes), StandardCharsets.ISO_8859_1);
+        }
+
+        /** Returns all that comes until the host closes the connection. */
+        String readToEnd() throws IOException {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
     /** A host without others. */
     private static final class OnlyHost implements CustomerQuotas.Network {
         @Override
--- a/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -73,7 +71,7 @@
             stopped.await(5, TimeUnit.SECONDS);
             out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
         });
-        try (Client client = new Client()) {
+        try (KeptClient client = new KeptClient()) {
             client.write(request("/stream/x", "before", 2_000));
             assertEquals(client.read(20).substring(0, 12), "HTTP/1.1 200");
             stopSince(0);
@@ -90,7 +88,7 @@
             stopped.await(5, TimeUnit.SECONDS);
             respond(out, "200 OK", request, SIGNED, "ok-" + request.header("id"));
         });
-        try (Client client = new Client()) {
+        try (KeptClient client = new KeptClient()) {
             client.write(request("/unsafe/x", "one", 2_000) + request("/unsafe/x", "two", 2_000));
             awaitRequests(server, 1);
             stopSince(0);
@@ -107,7 +105,7 @@
         String body = "x".repeat(3_000_000);
         ScriptedServer server = startServer((request, out, socket) -> respond(out, "200 OK", request, SIGNED, body));
         stopSince(0);
-        try (Client client = new Client()) {
+        try (KeptClient client = new KeptClient()) {
             client.write(request("/unsafe/x", "last", 2_000));
             awaitRequests(server, 1);
             Thread.sleep(300);
@@ -117,38 +115,4 @@
         }
         assertEquals(server.requests.size(), 1);
     }
-
-    private static void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
-        for (int i = 0; i < 500 && server.requests.size() < count; i++) {
-            Thread.sleep(10);
-        }
-        assertEquals(server.requests.size(), count);
-    }
-
-    /** A client that keeps its connection. */
-    private final class Client implements AutoCloseable {
-        private final Socket socket = new Socket("127.0.0.1", listener.port());
-
-        Client() throws IOException {
-            socket.setSoTimeout(5_000);
-        }
-
-        void write(String requests) throws IOException {
-            socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
-        }
-
-        String read(int bytes) throws IOException {
-            return new String(socket.getInputStream().readNBytes(bytes), StandardCharsets.ISO_8859_1);
-        }
-
-        /** Returns all that comes until the host closes the connection. */
-        String readToEnd() throws IOException {
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
 }
