Count the crashes under one request although its runs overlap

Cause: a run counted only if it began after the last counted one had ended, and the oldest of twelve runs was dropped for a new one although it counted.

Change: for one content, crashes count that are 400 ms apart or more, whether the runs overlap or not; servers that fail together still count once. Paths, on which sound requests overlap, count as before. Runs that do not count are dropped first, so that a further crash never ends a quarantine.

--- a/core/src/main/java/org/celerygw/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/celerygw/core/quarantine/Quarantine.java
@@ -14,7 +14,7 @@
 
 /**
  * The requests under which servers have crashed. A request that was running when its server broke off is a suspect; mostly it did nothing wrong, and then a later run of it succeeds, which clears it. One under which
- * {@value #MAX_CRASHES} servers have crashed one after the other, without a success in between, is in quarantine: it is
+ * {@value #MAX_CRASHES} servers have crashed at different times, without a success in between, is in quarantine: it is
  * not sent to another server for a while, and then by one host once, as a probe. The same holds for a path, whatever the
  * bodies, but not for long. Hosts tell each other their suspects, so that crashes at different hosts add up. Not
  * thread-safe.
@@ -29,6 +29,12 @@
     /** The same for a path, on which other requests may be sound. */
     static final long MIN_PATH_QUARANTINE_MS = 8_000;
 
+    /** Clients may send a request again before its last run has crashed a server; servers that fail together do so at once. */
+    private static final long SEPARATE_CONTENT_CRASHES_MS = 400;
+
+    /** On a path, sound requests overlap all the time. */
+    private static final long SEPARATE_PATH_CRASHES_MS = Long.MAX_VALUE / 4;
+
     /** The hosts' probes after a quarantine are spread over this part of its length. */
     private static final double PROBE_SPREAD = 0.5;
 
@@ -197,7 +203,10 @@
     private Suspect suspect(Key key) {
         return suspects.computeIfAbsent(key, k -> {
             long minQuarantineMs = k.isPath() ? MIN_PATH_QUARANTINE_MS : MIN_CONTENT_QUARANTINE_MS;
-            return new Suspect(minQuarantineMs, (long) (probeOrder(k) * PROBE_SPREAD * minQuarantineMs));
+            return new Suspect(
+                    minQuarantineMs,
+                    (long) (probeOrder(k) * PROBE_SPREAD * minQuarantineMs),
+                    k.isPath() ? SEPARATE_PATH_CRASHES_MS : SEPARATE_CONTENT_CRASHES_MS);
         });
     }
 
--- a/core/src/main/java/org/celerygw/core/quarantine/Suspect.java
+++ b/core/src/main/java/org/celerygw/core/quarantine/Suspect.java
@@ -17,6 +17,7 @@
 
     private final long minQuarantineMs;
     private final long probeDelayMs;
+    private final long separateCrashesMs;
     private final List<Run> runs = new ArrayList<>();
     private long lastSuccessMs = NEVER;
     private long lastProbeMs = NEVER;
@@ -28,10 +29,12 @@
      *
      * @param minQuarantineMs how long it stays in quarantine after the first crashes
      * @param probeDelayMs how much later than others this host sends it again, so that not all hosts do at the same time
+     * @param separateCrashesMs how far apart the crashes under runs that overlap must be to count each, in ms
      */
-    Suspect(long minQuarantineMs, long probeDelayMs) {
+    Suspect(long minQuarantineMs, long probeDelayMs, long separateCrashesMs) {
         this.minQuarantineMs = minQuarantineMs;
         this.probeDelayMs = probeDelayMs;
+        this.separateCrashesMs = separateCrashesMs;
     }
 
     void addRun(int server, long sentMs, long endedMs, boolean hadResult) {
@@ -42,30 +45,47 @@
         runs.add(new Run(server, sentMs, endedMs, hadResult));
         runs.sort(Comparator.comparingLong(Run::endedMs));
         if (runs.size() > MAX_RUNS) {
-            runs.remove(0);
+            removeOneRun();
         }
     }
 
+    /** Removes the oldest run that does not count, so that a further crash never lowers the count, or else the oldest. */
+    private void removeOneRun() {
+        List<Run> counted = countedRuns();
+        Run oldest = runs.get(0);
+        runs.remove(
+                runs.stream().filter(run -> !counted.contains(run)).findFirst().orElse(oldest));
+    }
+
     void addSuccess(long atMs) {
         lastSuccessMs = Math.max(lastSuccessMs, atMs);
         runs.removeIf(run -> run.endedMs() <= lastSuccessMs);
     }
 
     /**
-     * Counts the crashes, one after the other: a run counts if it began after the last counted one had ended. So servers
-     * that fail at the same moment count once for the requests that were under way there. A run that had given part of a
-     * result counts half: it had gone well for a while, but a request may also crash its server late.
+     * Counts the crashes. A run that had given part of a result counts half: it had gone well for a while, but a request may
+     * also crash its server late.
      */
     double crashes() {
-        double count = 0;
+        return countedRuns().stream()
+                .mapToDouble(run -> run.hadResult() ? 0.5 : 1)
+                .sum();
+    }
+
+    /**
+     * Returns the runs that count: those that began after the last counted one had ended, or ended long enough after it. So
+     * servers that fail at the same moment count once for the requests that were under way there.
+     */
+    private List<Run> countedRuns() {
+        List<Run> counted = new ArrayList<>();
         long lastEndedMs = NEVER;
         for (Run run : runs) {
-            if (run.sentMs() >= lastEndedMs) {
-                count += run.hadResult() ? 0.5 : 1;
+            if (run.sentMs() >= lastEndedMs || run.endedMs() - separateCrashesMs >= lastEndedMs) {
+                counted.add(run);
                 lastEndedMs = run.endedMs();
             }
         }
-        return count;
+        return counted;
     }
 
     boolean inQuarantine() {
--- a/core/src/test/java/org/celerygw/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/celerygw/core/quarantine/QuarantineTest.java
@@ -52,6 +52,37 @@
         assertTrue(own.remainingMs(request, 7_000) > 0);
     }
 
+    /** Guards against BUDGET: a request that came again before it had crashed its server went on to crash a dozen. */
+    @Test
+    public void requestThatComesAgainBeforeItsCrashIsHeldBackAfterSixCrashes() {
+        Fingerprint request = request("/a/1", "x");
+        Quarantine own = new Quarantine("host");
+        for (int i = 0; i < 40; i++) {
+            long endedMs = 2_500 + 1_000L * i;
+            assertEquals(own.remainingMs(request, endedMs) > 0, i >= 6, "after " + i + " crashes");
+            own.recordCrash(request, i, endedMs - 2_500, true, endedMs);
+        }
+    }
+
+    @Test
+    public void furtherCrashesNeverEndTheQuarantine() {
+        Quarantine own = new Quarantine("host");
+        IntStream.range(0, 3).forEach(i -> crash(own, request("/a", "x" + i), i, 1_000 + 100L * i));
+        for (int i = 3; i < 40; i++) {
+            // All overlap, on one path.
+            own.recordCrash(request("/a", "x" + i), i, 1_250, false, 1_300 + i);
+            assertTrue(own.remainingMs(request("/a", "y"), 1_400) > 0, "after " + i + " crashes");
+        }
+    }
+
+    @Test
+    public void serversThatFailTogetherCountOnceForOneRequest() {
+        Fingerprint request = request("/a", "x");
+        Quarantine own = new Quarantine("host");
+        IntStream.range(0, 8).forEach(i -> own.recordCrash(request, i, 900, false, 1_000 + 40L * i));
+        assertEquals(own.remainingMs(request, 1_400), 0);
+    }
+
     @Test
     public void afterTheQuarantineOneHostSendsOneProbe() {
         Fingerprint request = request("/a/1", "x");
