Move the times of an exchange to a class of their own

Change: ExchangeTimes keeps them; Exchange, RequestLog, CrashGuard and ResponseWriter ask it. Behaviour and log fields are the same.

--- a/gateway/src/main/java/org/celerygw/gateway/forward/CrashGuard.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/CrashGuard.java
@@ -46,7 +46,7 @@
     void onBrokenOff(TrackedServer server, int events) {
         long nowMs = exchange.forwarder.clock.nowMs();
         double crashes = quarantine.recordCrash(
-                fingerprint(), incarnation(server.entry()), nowMs - exchange.currentSendMs(), events > 0, nowMs);
+                fingerprint(), incarnation(server.entry()), nowMs - exchange.times.currentSendMs(), events > 0, nowMs);
         exchange.forwarder.reportSuspects();
         exchange.forwarder.requestLog.logBrokenOff(
                 exchange, fingerprint(), server.entry().id(), events, crashes);
--- a/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/Exchange.java
@@ -49,6 +49,7 @@
     final @Nullable Service service;
     private final Optional<Customer> customer;
     final ReadPacer pacer;
+    final ExchangeTimes times;
     private final ProgramTurn turn;
     private final CrashGuard crashGuard;
     private final QuotaTokens quotaTokens;
@@ -58,13 +59,7 @@
     private ResponseWriter responseWriter;
     private OriginPool.@Nullable PendingRequest pendingRequest;
     private @Nullable TrackedServer currentServer;
-    private long lastReceivedMs;
-    private long sentMs;
     private long sentTokens;
-    private long serverMs;
-    private long queuedMs;
-    private long serverFirstByteMs;
-    private long firstByteMs;
     private int sendCount;
     private int earlierRequests;
     private int possibleExecutions;
@@ -89,6 +84,7 @@
         this.service = routes.service(route.selectService(targetDraw())).orElse(null);
         this.timeoutMs = metadata.timeoutMs(route);
         this.requestDeadlineMs = request.receivedAtMs() + timeoutMs;
+        this.times = new ExchangeTimes(forwarder.clock, request.receivedAtMs());
         this.crashGuard = new CrashGuard(this);
         this.quotaTokens = new QuotaTokens(this, forwarder.quotas);
         this.pacer = new ReadPacer(forwarder.clock, forwarder.unsentBytes, clientResponse);
@@ -132,10 +128,6 @@
         return deadlineMs() - Math.min(responseMs, timeoutMs / 2);
     }
 
-    long elapsedMs() {
-        return forwarder.clock.nowMs() - request.receivedAtMs();
-    }
-
     int sendCount() {
         return sendCount;
     }
@@ -155,35 +147,6 @@
         return earlierRequests;
     }
 
-    /** Returns the sum of the times from each send to its end, in ms. */
-    long serverMs() {
-        return serverMs;
-    }
-
-    /** Returns the time since the current send, in ms. */
-    long currentSendMs() {
-        return forwarder.clock.nowMs() - sentMs;
-    }
-
-    /** Returns how long the request has waited until an engine had room, in ms. */
-    long queuedMs() {
-        return queuedMs;
-    }
-
-    /** Returns the time from a send to the first bytes of any response body, in ms; 0 while none has arrived. */
-    long serverFirstByteMs() {
-        return serverFirstByteMs;
-    }
-
-    /** Returns the time from arrival to the first bytes sent to the client, in ms; 0 unless the response is a stream. */
-    long firstByteMs() {
-        return firstByteMs;
-    }
-
-    void recordFirstByte() {
-        firstByteMs = elapsedMs();
-    }
-
     boolean ended() {
         return ended;
     }
@@ -224,7 +187,7 @@
     /** Called when an engine has room for this request. */
     void onEngineSelected(TrackedServer server, long waitedMs) {
         engineWait = null;
-        queuedMs += waitedMs;
+        times.onQueued(waitedMs);
         refusalBeforeSend().ifPresentOrElse(this::endRefused, () -> sendTo(server));
     }
 
@@ -273,8 +236,7 @@
         sentTokens = turn.memoryTokens();
         forwarder.requestStarted(server, service, sentTokens);
         forwarder.requestLog.logSend(this, server);
-        sentMs = forwarder.clock.nowMs();
-        lastReceivedMs = sentMs;
+        times.onSend();
         pendingRequest = forwarder.links.send(
                 server,
                 originRequest(server),
@@ -291,7 +253,9 @@
 
     /** Returns for how long the server has sent nothing although it was read, in ms. */
     private long silentMs() {
-        return pacer.isPaused() ? 0 : forwarder.clock.nowMs() - Math.max(lastReceivedMs, pacer.readingSinceMs());
+        return pacer.isPaused()
+                ? 0
+                : forwarder.clock.nowMs() - Math.max(times.lastReceivedMs(), pacer.readingSinceMs());
     }
 
     /** Cancels the send when its server is silent for too long, provided that another attempt is allowed. */
@@ -343,7 +307,7 @@
         if (!ended) {
             markEnded();
             if (!pacer.heldUpServer()) {
-                forwarder.responseTimes.record(route.name(), serverMs);
+                forwarder.responseTimes.record(route.name(), times.serverMs());
             }
             forwarder.requestLog.logEnd(this, status, "answered");
         }
@@ -532,7 +496,7 @@
 
     private void endSend(TrackedServer server, String outcome) {
         pendingRequest = null;
-        serverMs += forwarder.clock.nowMs() - sentMs;
+        times.onSendEnd();
         forwarder.requestEnded(server, service, sentTokens);
         forwarder.requestLog.logSendEnd(this, server.entry().id(), outcome);
     }
@@ -554,7 +518,7 @@
 
         @Override
         public void onHead(HttpResponse head) {
-            lastReceivedMs = forwarder.clock.nowMs();
+            times.onReceived();
             ResponseMetadata response = forwarder.dialect.parseResponse(head);
             verdict = Verdict.of(
                     response,
@@ -572,11 +536,8 @@
 
         @Override
         public void onBody(byte[] bytes) {
-            lastReceivedMs = forwarder.clock.nowMs();
-            speed.onBody(lastReceivedMs - sentMs);
-            if (serverFirstByteMs == 0) {
-                serverFirstByteMs = lastReceivedMs - sentMs;
-            }
+            times.onBodyReceived();
+            speed.onBody(times.responseMs());
             if (!ended && verdict == Verdict.PASS && !responseWriter.onBody(bytes)) {
                 if (responseWriter.outOfMemory()) {
                     endUnread("no memory", "too much of all responses is held for their clients");
@@ -669,7 +630,7 @@
             crashGuard.onAnswered();
             endSend(server, "whole");
             if (service != null && service.runsEngines() && status < SERVER_ERROR && !pacer.heldUpServer()) {
-                forwarder.engineQueue.recordServiceTime(service.name(), lastReceivedMs - sentMs);
+                forwarder.engineQueue.recordServiceTime(service.name(), times.responseMs());
             }
             recordSpeed();
             if (!ended) {
@@ -681,7 +642,7 @@
         private void recordSpeed() {
             boolean ofServer = !forwarder.links.prefersPeers(server) && !pacer.heldUpServer();
             if (status / 100 == 2 && service != null && ofServer) {
-                speed.record(service, lastReceivedMs - sentMs, responseWriter.receivedEvents() - eventsBefore);
+                speed.record(service, times.responseMs(), responseWriter.receivedEvents() - eventsBefore);
             }
         }
 
--- a/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/RequestLog.java
@@ -75,7 +75,7 @@
                 .addKeyValue("serverLoad", server.load())
                 .addKeyValue("lastEventId", exchange.lastEventId())
                 .addKeyValue("resumes", exchange.metadata.resumedAttempt())
-                .addKeyValue("queuedMs", exchange.queuedMs())
+                .addKeyValue("queuedMs", exchange.times.queuedMs())
                 .addKeyValue("leftMs", exchange.remainingMs())
                 .addKeyValue("programLeftMs", exchange.metadata.programTimeoutMs())
                 .log("route: sent to a server");
@@ -100,7 +100,7 @@
                 .addKeyValue("server", serverId)
                 .addKeyValue("path", Long.toHexString(fingerprint.path()))
                 .addKeyValue("content", Long.toHexString(fingerprint.content()))
-                .addKeyValue("runMs", exchange.currentSendMs())
+                .addKeyValue("runMs", exchange.times.currentSendMs())
                 .addKeyValue("events", events)
                 .addKeyValue("crashes", crashes)
                 .log("route: a server broke off");
@@ -185,17 +185,17 @@
     void logEnd(Exchange exchange, int status, String result) {
         String kind = exchange.route.kind().name();
         requestsEnded.labelValues(kind, Integer.toString(status)).inc();
-        requestSeconds.labelValues(kind).observe(exchange.elapsedMs() / 1000.0);
+        requestSeconds.labelValues(kind).observe(exchange.times.elapsedMs() / 1000.0);
         LOG.atLevel(status < 400 ? Level.INFO : Level.WARN)
                 .addKeyValue("request", exchange.metadata.id())
                 .addKeyValue("program", exchange.metadata.program())
                 .addKeyValue("route", exchange.route.name())
                 .addKeyValue("status", status)
-                .addKeyValue("tookMs", exchange.elapsedMs())
-                .addKeyValue("queuedMs", exchange.queuedMs())
-                .addKeyValue("serverMs", exchange.serverMs())
-                .addKeyValue("firstMs", exchange.firstByteMs())
-                .addKeyValue("serverFirstMs", exchange.serverFirstByteMs())
+                .addKeyValue("tookMs", exchange.times.elapsedMs())
+                .addKeyValue("queuedMs", exchange.times.queuedMs())
+                .addKeyValue("serverMs", exchange.times.serverMs())
+                .addKeyValue("firstMs", exchange.times.firstByteMs())
+                .addKeyValue("serverFirstMs", exchange.times.serverFirstByteMs())
                 .addKeyValue("sends", exchange.sendCount())
                 .addKeyValue("server", exchange.lastServerId())
                 .addKeyValue("earlierRequests", exchange.earlierRequests())
--- a/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
+++ b/gateway/src/main/java/org/celerygw/gateway/forward/ResponseWriter.java
@@ -262,9 +262,7 @@
         if (exchange.ended()) {
             return;
         }
-        if (exchange.firstByteMs() == 0) {
-            exchange.recordFirstByte();
-        }
+        exchange.times.onFirstByteToClient();
         deliveredEvents = eventsUntil;
         releaseBlocks();
         exchange.pacer.sendBody(blocks);
