--- a/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
+++ b/gateway/src/main/java/org/celerygw/gateway/net/ClientChannel.java
@@ -176,7 +176,7 @@
         }
     }
 
-    /** Discards all further requests: the client was told that this connection closes, or cannot be understood. */
+    /** Discards all further requests: the last response said that this connection closes, or a request was rejected. */
     private void endInput() {
         inputEnded = true;
         pipelined.forEach(ReferenceCountUtil::release);
--- a/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
+++ b/gateway/src/test/java/org/celerygw/gateway/forward/StoppingHostTest.java
@@ -60,7 +60,7 @@
                 0);
     }
 
-    /** Guards against LOST: a client that was not told to leave sent its next request to a host that was about to end. */
+    /** Guards against LOST: a client that did not know of the stop sent its next request to a host about to end. */
     @Test
     public void connectionEndsWithTheStreamThatBeganBeforeTheStop() throws Exception {
         CountDownLatch stopped = new CountDownLatch(1);
